Serve one request end to end through separate processes

Change: stand-in platform and runners, two nodes in two data centres that form a replica of three VMs each from declared objects, prove it whole and route a streamed model call and a non-idempotent order to it; command line, settings. Seen: demo/run, then both printed curl calls answered: the stream with its explicit end and X-Outcome: completed, the order with X-Attempts: 1; Ctrl-C stopped all.

--- /dev/null
+++ b/cmd/marjorammoor/main.go
@@ -0,0 +1,10 @@
+// Command marjorammoor serves models whose replicas span several VMs.
+package main
+
+import (
+	"os"
+
+	"marjorammoor/internal/cli/commander"
+)
+
+func main() { os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/admission/allocator/allocator.go
@@ -0,0 +1,164 @@
+// Package allocator gives each node its part of what is shared: the places of
+// each deployment's replicas, and each team's limits. It reads the demand of all
+// nodes from the board and computes the part of its own node from it, as every
+// other node does for itself.
+//
+// # Usage
+//
+//	a := &allocator.Allocator{Board: board, Director: d, Self: "node-1", DataCenter: "vake"}
+//	go a.Run(ctx)
+//	err := a.Gate("drafting").Acquire(ctx, a.Request("north", 200))
+package allocator
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"marjorammoor/internal/admission/limiter"
+	"marjorammoor/internal/admission/meter"
+	"marjorammoor/internal/admission/scheduler"
+	"marjorammoor/internal/objects/parser"
+	"marjorammoor/internal/routing/director"
+	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/state/sharder"
+)
+
+const (
+	measureInterval = time.Second
+	// nodeLifetime is how long the last known demand of a node counts after it
+	// was heard: a node that is cut off goes on using its part.
+	nodeLifetime = 10 * time.Second
+)
+
+// Allocator holds the gates and limits of one node. Set Board, Director, Self
+// and DataCenter before use.
+type Allocator struct {
+	Board      *recorder.Board
+	Director   *director.Director
+	Self       string
+	DataCenter string
+	Meter      meter.Meter
+	Limiter    limiter.Limiter
+
+	gates sharder.Map[string, *scheduler.Gate]
+	own   sharder.Map[string, recorder.Demand]
+}
+
+// Run measures demand and computes parts until ctx ends.
+func (a *Allocator) Run(ctx context.Context) {
+	t := time.NewTicker(measureInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			a.Measure()
+		}
+	}
+}
+
+// Gate returns the gate of a deployment.
+func (a *Allocator) Gate(deployment string) *scheduler.Gate {
+	if g, ok := a.gates.Get(deployment); ok {
+		return g
+	}
+	return a.gates.Update(deployment, func(old *scheduler.Gate, ok bool) (*scheduler.Gate, bool) {
+		if ok {
+			return old, true
+		}
+		return &scheduler.Gate{}, true
+	})
+}
+
+// Request returns a team's request for a place.
+func (a *Allocator) Request(team string, tokens int) scheduler.Request {
+	r := scheduler.Request{Team: team, Cost: float64(tokens), MaxQueued: parser.DefaultMaxQueued}
+	spec, ok := a.Board.Team(team)
+	if !ok {
+		spec = &parser.TeamSpec{}
+	}
+	r.Weight = spec.Weight
+	if spec.MaxQueued > 0 {
+		r.MaxQueued = spec.MaxQueued
+	}
+	r.QueueTimeout = spec.QueueTimeout()
+	return r
+}
+
+// Measure takes the demand of the last second and computes the teams' parts.
+func (a *Allocator) Measure() {
+	demand := a.Meter.Tick()
+	a.Board.Nodes.Update(a.Self, func(n recorder.Node, ok bool) (recorder.Node, bool) {
+		n.Demand = demand
+		return n, ok
+	})
+	nodes := a.nodes()
+	for name, spec := range a.Board.Teams() {
+		a.Limiter.SetLimits(name, limiter.Limits{Requests: spec.RequestsPerSecond, Tokens: spec.TokensPerSecond})
+		own, total := sum(nodes, a.Self, func(d recorder.Demand) bool { return d.Team == name })
+		a.Limiter.SetShare(name, limiter.Share(own, total, len(nodes)))
+	}
+}
+
+// nodes returns the demand of all nodes that were heard lately, those of other
+// data centres from their summaries.
+func (a *Allocator) nodes() map[string][]recorder.Demand {
+	nodes := map[string][]recorder.Demand{a.Self: nil}
+	a.Board.Nodes.Each(func(name string, n recorder.Node) bool {
+		if n.DataCenter == a.DataCenter && (name == a.Self || time.Since(n.HeardAt) < nodeLifetime) {
+			nodes[name] = n.Demand
+		}
+		return true
+	})
+	a.Board.Summaries.Each(func(_ string, s recorder.Summary) bool {
+		for _, n := range s.Nodes {
+			nodes[n.Name] = nil
+		}
+		nodes["data centre "+s.DataCenter] = s.Demand
+		return true
+	})
+	return nodes
+}
+
+func sum(nodes map[string][]recorder.Demand, self string, matches func(recorder.Demand) bool) (own, total float64) {
+	for name, list := range nodes {
+		for _, d := range list {
+			if !matches(d) {
+				continue
+			}
+			total += d.Tokens
+			if name == self {
+				own += d.Tokens
+			}
+		}
+	}
+	return own, total
+}
+
+// SetPlaces computes this node's part of the places of every deployment. Free
+// room is divided equally and at once; what is contended follows the demand.
+func (a *Allocator) SetPlaces() {
+	local := map[string][]recorder.Demand{a.Self: nil}
+	a.Board.Nodes.Each(func(name string, n recorder.Node) bool {
+		isLive := name == a.Self || time.Since(n.HeardAt) < nodeLifetime && !n.Leaving
+		if n.DataCenter == a.DataCenter && isLive {
+			local[name] = n.Demand
+		}
+		return true
+	})
+	for name, spec := range a.Board.Deployments() {
+		p, ok := a.Director.Picker(name)
+		gate := a.Gate(name)
+		if !ok || p.Proved() == 0 {
+			gate.SetLimit(0)
+			continue
+		}
+		capacity := float64(p.Proved() * spec.InFlightLimit())
+		own, total := sum(local, a.Self, func(d recorder.Demand) bool { return d.Deployment == name })
+		contended := int(math.Ceil(capacity * limiter.Share(own, total, len(local))))
+		free := gate.InUse() + p.Room()/len(local)
+		gate.SetLimit(max(contended, free, 1))
+	}
+}
--- /dev/null
+++ b/internal/gateway/responder/responder.go
@@ -0,0 +1,153 @@
+// Package responder defines how a request ended and how a caller is told.
+//
+// There are three outcomes. Completed means that the whole answer was
+// delivered. NotRun means that the request was provably not run. Unknown means
+// that neither is certain. Each answer carries the outcome, the request's
+// identity and the number of attempts as headers; a streamed answer carries the
+// outcome as a trailer, because it is known only at the end.
+//
+// # Usage
+//
+//	responder.Error(w, responder.Failure{
+//		Status: http.StatusTooManyRequests, Outcome: responder.NotRun,
+//		Reason: responder.ReasonRateRequests, RequestID: id,
+//	})
+package responder
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Outcome says whether a request was run.
+type Outcome string
+
+// The outcomes.
+const (
+	Completed Outcome = "completed"
+	NotRun    Outcome = "not_run"
+	Unknown   Outcome = "unknown"
+)
+
+// Reason is a machine-readable cause of a refusal or failure.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnknownCredential  Reason = "unknown_credential"
+	ReasonUnknownDeployment  Reason = "unknown_deployment"
+	ReasonUnknownPath        Reason = "unknown_path"
+	ReasonBodyTooLarge       Reason = "body_too_large"
+	ReasonBodyNotRead        Reason = "body_not_read"
+	ReasonMalformedJSON      Reason = "malformed_json"
+	ReasonBadHeader          Reason = "bad_header"
+	ReasonDeadline           Reason = "deadline_expired"
+	ReasonRateRequests       Reason = "rate_requests"
+	ReasonRateTokens         Reason = "rate_tokens"
+	ReasonTooManyStreams     Reason = "too_many_streams"
+	ReasonQueueFull          Reason = "queue_full"
+	ReasonQueueTimeout       Reason = "queue_timeout"
+	ReasonNoReplica          Reason = "no_replica"
+	ReasonReplicasFull       Reason = "replicas_full"
+	ReasonDialFailed         Reason = "dial_failed"
+	ReasonRefused            Reason = "refused_by_runner"
+	ReasonConnectionBroken   Reason = "connection_broken"
+	ReasonStreamBroken       Reason = "stream_broken"
+	ReasonAnswerMismatch     Reason = "answer_mismatch"
+	ReasonCallerGone         Reason = "caller_gone"
+	ReasonClaimsUnavailable  Reason = "claims_unavailable"
+	ReasonKeyReused          Reason = "key_reused"
+	ReasonEarlierUnknown     Reason = "earlier_attempt_unknown"
+	ReasonShuttingDown       Reason = "shutting_down"
+	ReasonNotReady           Reason = "not_ready"
+	ReasonTooManyConnections Reason = "too_many_connections"
+)
+
+// The headers of answers.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderAttempts  = "X-Attempts"
+	HeaderOutcome   = "X-Outcome"
+)
+
+// Failure is a request that did not complete.
+type Failure struct {
+	Status     int
+	Outcome    Outcome
+	Reason     Reason
+	Message    string
+	RequestID  string
+	Attempts   int
+	RetryAfter time.Duration
+}
+
+// Error describes the failure.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (%s): %s", f.Reason, f.Outcome, f.Message)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string  `json:"message"`
+	Type      string  `json:"type"`
+	Reason    Reason  `json:"reason"`
+	Outcome   Outcome `json:"outcome"`
+	RequestID string  `json:"request_id"`
+	Attempts  int     `json:"attempts"`
+}
+
+// Body returns the failure as the JSON body of an answer.
+func (f *Failure) Body() []byte {
+	b, _ := json.Marshal(errorBody{Error: errorDetail{
+		Message: f.Message, Type: errorType(f.Status), Reason: f.Reason,
+		Outcome: f.Outcome, RequestID: f.RequestID, Attempts: f.Attempts,
+	}})
+	return b
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// Error writes a failure and counts it by its reason.
+func Error(w http.ResponseWriter, f *Failure) {
+	Count(f)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((f.RetryAfter+time.Second-1)/time.Second)))
+	}
+	Describe(h, f.RequestID, f.Attempts)
+	h.Set(HeaderOutcome, string(f.Outcome))
+	w.WriteHeader(f.Status)
+	_, _ = w.Write(append(f.Body(), '\n'))
+}
+
+// Describe sets the headers that every answer carries.
+func Describe(h http.Header, requestID string, attempts int) {
+	h.Set(HeaderRequestID, requestID)
+	h.Set(HeaderAttempts, strconv.Itoa(attempts))
+}
+
+// Count counts a failure by its reason and outcome.
+func Count(f *Failure) {
+	name := fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, f.Reason, f.Outcome)
+	metrics.GetOrCreateCounter(name).Inc()
+}
--- /dev/null
+++ b/internal/node/assembler/node.go
@@ -0,0 +1,233 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"golang.org/x/net/netutil"
+
+	adminserver "marjorammoor/internal/admin/server"
+	"marjorammoor/internal/admission/allocator"
+	"marjorammoor/internal/config/loader"
+	"marjorammoor/internal/fleet/controller"
+	"marjorammoor/internal/fleet/planner"
+	"marjorammoor/internal/gateway/forwarder"
+	gatewayserver "marjorammoor/internal/gateway/server"
+	"marjorammoor/internal/health/prober"
+	"marjorammoor/internal/health/verifier"
+	"marjorammoor/internal/network/dialer"
+	"marjorammoor/internal/platform/client"
+	"marjorammoor/internal/platform/syncer"
+	"marjorammoor/internal/routing/director"
+	"marjorammoor/internal/runner/caller"
+	"marjorammoor/internal/state/recorder"
+)
+
+const (
+	headerTimeout    = 5 * time.Second
+	idleTimeout      = 2 * time.Minute
+	maxHeaderBytes   = 32 << 10
+	drainPoll        = 20 * time.Millisecond
+	runnerIdleConns  = 64
+	controlIdleConns = 4
+	presenceBeat     = 500 * time.Millisecond
+)
+
+var (
+	gracefulStops = metrics.NewCounter(`marjorammoor_stops_total{kind="graceful"}`)
+	cutOffStops   = metrics.NewCounter(`marjorammoor_stops_total{kind="drain_timeout"}`)
+)
+
+// Node is one serving process.
+type Node struct {
+	Settings    *loader.Settings
+	Incarnation string
+	Log         *slog.Logger
+
+	board     *recorder.Board
+	platform  *client.Client
+	verifier  *verifier.Verifier
+	director  *director.Director
+	allocator *allocator.Allocator
+	forwarder *forwarder.Forwarder
+	gateway   *gatewayserver.Server
+	admin     *adminserver.Server
+	syncer    *syncer.Syncer
+	prober    *prober.Prober
+	fleet     *controller.Controller
+
+	draining  atomic.Bool
+	stop      chan struct{}
+	stopOnce  sync.Once
+	listeners []net.Listener
+	servers   []*http.Server
+}
+
+// New builds a node and opens its listeners. Errors name the address that could
+// not be opened.
+func New(s *loader.Settings, log *slog.Logger) (*Node, error) {
+	n := &Node{Settings: s, Incarnation: uuid.NewString()[:8], Log: log, stop: make(chan struct{})}
+	n.build()
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.CallerAddress, n.gateway.Handler()},
+		{s.AdminAddress, n.admin.Handler()},
+	}
+	for _, h := range handlers {
+		if err := n.listen(h.address, h.handler); err != nil {
+			n.closeListeners()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) listen(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if address == n.Settings.CallerAddress {
+		l = netutil.LimitListener(l, n.Settings.MaxConnections)
+	}
+	n.listeners = append(n.listeners, l)
+	n.servers = append(n.servers, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+	})
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+}
+
+func (n *Node) build() {
+	s := n.Settings
+	lifetime := loader.Millis(s.ProofLifetimeMS)
+	dial := &dialer.Dialer{Map: s.AddressMap}
+	control := dial.HTTPClient(controlIdleConns)
+	probes := &caller.Caller{HTTP: control, Timeout: loader.Millis(s.ProbeIntervalMS)}
+	orders := &caller.Caller{HTTP: control}
+	n.board = &recorder.Board{}
+	budget := &client.Budget{CallsPerSecond: s.PlatformCallsPerSecond}
+	n.platform = &client.Client{BaseURL: s.PlatformURL, HTTP: control, Admit: budget.Admit, Count: countCall}
+	n.verifier = &verifier.Verifier{Board: n.board, Self: s.Name, Lifetime: lifetime}
+	n.director = &director.Director{Board: n.board, Verifier: n.verifier, DataCenter: s.DataCenter}
+	n.allocator = &allocator.Allocator{Board: n.board, Director: n.director, Self: s.Name, DataCenter: s.DataCenter}
+	n.director.Changed = n.allocator.SetPlaces
+	n.forwarder = &forwarder.Forwarder{
+		Director: n.director, Allocator: n.allocator, PeerToken: s.PeerToken,
+		Client: dial.HTTPClient(runnerIdleConns), FreshClient: dial.HTTPClient(-1),
+	}
+	n.gateway = &gatewayserver.Server{
+		Board: n.board, Allocator: n.allocator, Forwarder: n.forwarder,
+		Incarnation: s.Name + "-" + n.Incarnation, PeerToken: s.PeerToken, MaxBodyBytes: int64(s.MaxBodyBytes),
+	}
+	n.syncer = &syncer.Syncer{Board: n.board, Platform: n.platform, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log}
+	n.prober = &prober.Prober{
+		Board: n.board, Self: s.Name, DataCenter: s.DataCenter, Lifetime: lifetime,
+		Interval: loader.Millis(s.ProbeIntervalMS), Identity: probes.Identity, Log: n.Log,
+	}
+	n.fleet = &controller.Controller{
+		Board: n.board, Platform: n.platform, Verifier: n.verifier, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log,
+		Order: orders.Order,
+		Timing: planner.Timing{
+			Reload: loader.Millis(s.ReloadMS), SilentReturn: loader.Millis(s.SilentReturnMS), GoneReturn: loader.Millis(s.GoneReturnMS),
+		},
+	}
+	n.admin = &adminserver.Server{
+		Board: n.board, Platform: n.platform, Token: s.AdminToken,
+		Ready: n.isReady, Drain: n.Stop, Status: n.status,
+	}
+}
+
+func countCall(class client.Class, err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_platform_calls_total{class=%q,outcome=%q}`, class, outcome)).Inc()
+}
+
+// isReady reports whether callers should be sent to this node.
+func (n *Node) isReady() bool { return !n.draining.Load() && n.board.Revision() > 0 }
+
+// Stop starts a graceful stop.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// Run serves until ctx ends or Stop is called, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.board.Start(work, watermill.NopLogger{})
+	n.announce()
+	if err := n.startControllers(work); err != nil {
+		return fmt.Errorf("start controllers: %w", err)
+	}
+	failed := make(chan error, len(n.servers))
+	for i, s := range n.servers {
+		go func() { failed <- s.Serve(n.listeners[i]) }()
+	}
+	n.Log.Info("node started", "node", n.Settings.Name, "data_center", n.Settings.DataCenter,
+		"incarnation", n.Incarnation, "callers", n.Settings.CallerAddress)
+	select {
+	case <-ctx.Done():
+	case <-n.stop:
+	case err := <-failed:
+		if !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve: %w", err)
+		}
+	}
+	return n.drain()
+}
+
+// announce puts this node on its own board and keeps it there.
+func (n *Node) announce() {
+	n.board.Nodes.Update(n.Settings.Name, func(old recorder.Node, _ bool) (recorder.Node, bool) {
+		old.Name, old.Incarnation, old.DataCenter = n.Settings.Name, n.Incarnation, n.Settings.DataCenter
+		old.PeerAddress, old.CallerAddress = n.Settings.PeerAddress, n.Settings.CallerAddress
+		old.HeardAt, old.Leaving, old.Revision = time.Now(), n.draining.Load(), n.board.Revision()
+		return old, true
+	})
+}
+
+// drain lets requests in progress finish within the drain timeout.
+func (n *Node) drain() error {
+	n.draining.Store(true)
+	n.announce()
+	n.Log.Info("node draining", "active", n.gateway.Active())
+	time.Sleep(loader.Millis(n.Settings.BalancerDelayMS))
+	ctx, cancel := context.WithTimeout(context.Background(), loader.Millis(n.Settings.DrainTimeoutMS))
+	defer cancel()
+	n.gateway.Close()
+	for n.gateway.Active() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	var err error
+	for _, s := range n.servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	if err != nil {
+		cutOffStops.Inc()
+		n.Log.Warn("node stopped with requests in progress", "active", n.gateway.Active())
+		return fmt.Errorf("drain: %w", err)
+	}
+	gracefulStops.Inc()
+	n.Log.Info("node stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/state/sharder/sharder.go
@@ -0,0 +1,110 @@
+// Package sharder holds maps that are split into shards, each under its own
+// lock, so that readers of different keys seldom wait for each other.
+//
+// # Usage
+//
+//	var m sharder.Map[string, int]
+//	m.Set("a", 1)
+//	m.Update("a", func(old int, ok bool) (int, bool) { return old + 1, true })
+//	v, ok := m.Get("a")
+package sharder
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+const shardCount = 32
+
+var seed = maphash.MakeSeed()
+
+// Map is a sharded map. The zero value is empty and ready.
+type Map[K comparable, V any] struct {
+	shards [shardCount]shard[K, V]
+}
+
+type shard[K comparable, V any] struct {
+	mu     sync.RWMutex
+	values map[K]V
+}
+
+func (m *Map[K, V]) shard(k K) *shard[K, V] {
+	return &m.shards[maphash.Comparable(seed, k)%shardCount]
+}
+
+// Get returns the value stored under k.
+func (m *Map[K, V]) Get(k K) (V, bool) {
+	s := m.shard(k)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.values[k]
+	return v, ok
+}
+
+// Set stores v under k.
+func (m *Map[K, V]) Set(k K, v V) {
+	m.Update(k, func(V, bool) (V, bool) { return v, true })
+}
+
+// Delete removes k.
+func (m *Map[K, V]) Delete(k K) {
+	m.Update(k, func(v V, _ bool) (V, bool) { return v, false })
+}
+
+// Update replaces the value under k by what change returns, or removes it if
+// change returns false, and returns the new value. change must not use the map.
+func (m *Map[K, V]) Update(k K, change func(old V, ok bool) (V, bool)) V {
+	s := m.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.values[k]
+	v, keep := change(old, ok)
+	if !keep {
+		delete(s.values, k)
+		return v
+	}
+	if s.values == nil {
+		s.values = map[K]V{}
+	}
+	s.values[k] = v
+	return v
+}
+
+// Each calls visit for every entry, shard by shard, until it returns false.
+// visit may use the map.
+func (m *Map[K, V]) Each(visit func(k K, v V) bool) {
+	for i := range m.shards {
+		for _, e := range m.shards[i].entries() {
+			if !visit(e.key, e.value) {
+				return
+			}
+		}
+	}
+}
+
+// Len returns the number of entries.
+func (m *Map[K, V]) Len() int {
+	n := 0
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		n += len(s.values)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+type entry[K comparable, V any] struct {
+	key   K
+	value V
+}
+
+func (s *shard[K, V]) entries() []entry[K, V] {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]entry[K, V], 0, len(s.values))
+	for k, v := range s.values {
+		list = append(list, entry[K, V]{k, v})
+	}
+	return list
+}
