Exchange facts between nodes and run keyed requests at most once

Cause: nodes knew only what they saw themselves, and a caller's retry through another node would have run an order twice. Change: peer streams over connect-go with proofs dated by the receiver's own clock, summaries between data centres, overflow to another data centre, and claims on idempotency keys in the platform. A shard's claims are written by replacing its head object conditionally; the starting design's segments, created if absent, were ruled out because deleting an expired segment would let a paused writer create it again and fork the log. Not yet under faults.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -63,6 +63,7 @@
 	ReasonClaimsUnavailable  Reason = "claims_unavailable"
 	ReasonKeyReused          Reason = "key_reused"
 	ReasonEarlierUnknown     Reason = "earlier_attempt_unknown"
+	ReasonAnswerNotKept      Reason = "answer_not_kept"
 	ReasonShuttingDown       Reason = "shutting_down"
 	ReasonNotReady           Reason = "not_ready"
 	ReasonTooManyConnections Reason = "too_many_connections"
--- a/internal/node/assembler/controllers.go
+++ b/internal/node/assembler/controllers.go
@@ -14,7 +14,7 @@
 // startControllers starts everything that reads and writes the board.
 func (n *Node) startControllers(ctx context.Context) error {
 	for _, run := range []func(context.Context){
-		n.keepAnnouncing, n.syncer.Run, n.prober.Run, n.director.Run, n.allocator.Run, n.fleet.Run,
+		n.keepAnnouncing, n.syncer.Run, n.prober.Run, n.director.Run, n.allocator.Run, n.fleet.Run, n.exchanger.Run, n.executor.Run,
 	} {
 		go run(ctx)
 	}
@@ -23,8 +23,15 @@
 		return fmt.Errorf("message router: %w", err)
 	}
 	n.subscribe(router, recorder.TopicConfig, n.director.Refresh)
-	n.subscribe(router, recorder.TopicAssignments, n.director.Refresh)
-	n.subscribe(router, recorder.TopicSightings, n.director.Refresh)
+	n.subscribe(router, recorder.TopicAssignments, func() {
+		n.director.Refresh()
+		n.prober.Replan(ctx)
+	})
+	n.subscribe(router, recorder.TopicSightings, func() {
+		n.director.Refresh()
+		n.exchanger.Wake()
+	})
+	n.subscribe(router, recorder.TopicRevision, n.exchanger.Wake)
 	n.subscribe(router, recorder.TopicVMs, func() { n.prober.Replan(ctx) })
 	go func() {
 		if err := router.Run(ctx); err != nil {
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -18,6 +18,8 @@
 
 	adminserver "marjorammoor/internal/admin/server"
 	"marjorammoor/internal/admission/allocator"
+	"marjorammoor/internal/claims/claimer"
+	"marjorammoor/internal/claims/executor"
 	"marjorammoor/internal/config/loader"
 	"marjorammoor/internal/fleet/controller"
 	"marjorammoor/internal/fleet/planner"
@@ -26,6 +28,7 @@
 	"marjorammoor/internal/health/prober"
 	"marjorammoor/internal/health/verifier"
 	"marjorammoor/internal/network/dialer"
+	"marjorammoor/internal/peer/exchanger"
 	"marjorammoor/internal/platform/client"
 	"marjorammoor/internal/platform/syncer"
 	"marjorammoor/internal/routing/director"
@@ -40,7 +43,11 @@
 	drainPoll        = 20 * time.Millisecond
 	runnerIdleConns  = 64
 	controlIdleConns = 4
-	presenceBeat     = 500 * time.Millisecond
+	// shareIntervals is how many half probe intervals old a sighting may be to be
+	// shared.
+	shareIntervals = 5
+	peerPing       = 3 * time.Second
+	presenceBeat   = 500 * time.Millisecond
 )
 
 var (
@@ -65,6 +72,9 @@
 	syncer    *syncer.Syncer
 	prober    *prober.Prober
 	fleet     *controller.Controller
+	exchanger *exchanger.Exchanger
+	claimer   *claimer.Claimer
+	executor  *executor.Executor
 
 	draining  atomic.Bool
 	stop      chan struct{}
@@ -84,6 +94,7 @@
 	}{
 		{s.CallerAddress, n.gateway.Handler()},
 		{s.AdminAddress, n.admin.Handler()},
+		{s.PeerAddress, n.exchanger.Handler()},
 	}
 	for _, h := range handlers {
 		if err := n.listen(h.address, h.handler); err != nil {
@@ -103,10 +114,15 @@
 		l = netutil.LimitListener(l, n.Settings.MaxConnections)
 	}
 	n.listeners = append(n.listeners, l)
-	n.servers = append(n.servers, &http.Server{
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
-	})
+	}
+	if address == n.Settings.PeerAddress {
+		server.Protocols = exchanger.Protocols()
+		server.HTTP2 = &http.HTTP2Config{SendPingTimeout: peerPing, PingTimeout: peerPing}
+	}
+	n.servers = append(n.servers, server)
 	return nil
 }
 
@@ -150,6 +166,12 @@
 			Reload: loader.Millis(s.ReloadMS), SilentReturn: loader.Millis(s.SilentReturnMS), GoneReturn: loader.Millis(s.GoneReturnMS),
 		},
 	}
+	n.exchanger = &exchanger.Exchanger{
+		Board: n.board, Self: s.Name, DataCenter: s.DataCenter, Token: s.PeerToken, Seeds: s.Peers, Dial: dial, Log: n.Log,
+		ShareWithin: shareIntervals * loader.Millis(s.ProbeIntervalMS) / 2, Free: n.free,
+	}
+	n.forwarder.Remote = n.remote
+	n.buildClaims()
 	n.admin = &adminserver.Server{
 		Board: n.board, Platform: n.platform, Token: s.AdminToken,
 		Ready: n.isReady, Drain: n.Stop, Status: n.status,
@@ -210,6 +232,7 @@
 func (n *Node) drain() error {
 	n.draining.Store(true)
 	n.announce()
+	n.exchanger.Wake()
 	n.Log.Info("node draining", "active", n.gateway.Active())
 	time.Sleep(loader.Millis(n.Settings.BalancerDelayMS))
 	ctx, cancel := context.WithTimeout(context.Background(), loader.Millis(n.Settings.DrainTimeoutMS))
@@ -218,10 +241,7 @@
 	for n.gateway.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	var err error
-	for _, s := range n.servers {
-		err = errors.Join(err, s.Shutdown(ctx))
-	}
+	err := n.shutDown(ctx)
 	if err != nil {
 		cutOffStops.Inc()
 		n.Log.Warn("node stopped with requests in progress", "active", n.gateway.Active())
@@ -231,3 +251,17 @@
 	n.Log.Info("node stopped")
 	return nil
 }
+
+// shutDown closes the listeners. Callers' and operators' connections finish
+// first; the peers' streams have no end of their own.
+func (n *Node) shutDown(ctx context.Context) error {
+	var err error
+	for _, s := range n.servers {
+		if s.Protocols != nil {
+			_ = s.Close()
+			continue
+		}
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	return err
+}
--- a/internal/platform/client/budget.go
+++ b/internal/platform/client/budget.go
@@ -24,31 +24,42 @@
 // Classes lists all classes, most urgent first.
 var Classes = []Class{ClassClaims, ClassAssignment, ClassOperator, ClassConfig, ClassWatch, ClassVMs}
 
-// Budget bounds the calls of one node. Claims, assignments and operators wait
-// for a token; the other classes are refused when fewer than the reserved half
-// of the burst is left, so that they never delay an urgent call. The zero value
-// admits DefaultCallsPerSecond.
+// Budget bounds the calls of one node. Claims have a budget of their own.
+// Assignments and operators wait for a token; the other classes are refused when
+// fewer than half of the burst is left, so that they never delay an urgent call.
+// The zero value admits DefaultCallsPerSecond.
 type Budget struct {
-	// CallsPerSecond bounds the node's calls; 0 means DefaultCallsPerSecond.
+	// CallsPerSecond bounds the node's calls but claims; 0 means
+	// DefaultCallsPerSecond.
 	CallsPerSecond float64
+	// ClaimsPerSecond bounds the node's calls for claims; 0 means
+	// DefaultClaimsPerSecond.
+	ClaimsPerSecond float64
 	// Burst is the number of calls that may come at once; 0 means DefaultBurst.
 	Burst int
 
-	once sync.Once
-	all  *rate.Limiter
+	once   sync.Once
+	all    *rate.Limiter
+	claims *rate.Limiter
 }
 
 // Defaults of a node's budget.
 const (
-	DefaultCallsPerSecond = 20
-	DefaultBurst          = 40
+	DefaultCallsPerSecond  = 20
+	DefaultClaimsPerSecond = 200
+	DefaultBurst           = 40
 )
 
 // Admit waits for a token or refuses the call with trace.LimitExceeded.
 func (b *Budget) Admit(ctx context.Context, class Class) error {
 	b.once.Do(b.start)
 	switch class {
-	case ClassClaims, ClassAssignment, ClassOperator:
+	case ClassClaims:
+		if err := b.claims.Wait(ctx); err != nil {
+			return trace.LimitExceeded("budget of claims: %v", err)
+		}
+		return nil
+	case ClassAssignment, ClassOperator:
 		if err := b.all.Wait(ctx); err != nil {
 			return trace.LimitExceeded("budget of calls to the platform: %v", err)
 		}
@@ -70,4 +81,9 @@
 		n = DefaultBurst
 	}
 	b.all = rate.NewLimiter(rate.Limit(r), n)
+	c := b.ClaimsPerSecond
+	if c == 0 {
+		c = DefaultClaimsPerSecond
+	}
+	b.claims = rate.NewLimiter(rate.Limit(c), int(c))
 }
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -172,8 +172,9 @@
 	return l, nil
 }
 
-// ListVMs reads the platform's list of the VMs of a data centre, or of all if
-// dataCenter is empty, unless it is still that of the revision after.
+// ListVMs reads the platform's list of the runner VMs of a data centre and of all
+// entry VMs, or of all VMs if dataCenter is empty, unless it is still that of the
+// revision after. An entry VM's address is its peer address.
 func (c *Client) ListVMs(ctx context.Context, dataCenter string, after int64) (*VMList, error) {
 	l := &VMList{}
 	path := fmt.Sprintf("/v1/vms?data_center=%s&after=%d", url.QueryEscape(dataCenter), after)
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -301,7 +301,7 @@
 	wanted := r.URL.Query().Get("data_center")
 	vms := []client.VM{}
 	for _, v := range l.VMs {
-		if wanted == "" || v.DataCenter == wanted {
+		if wanted == "" || v.DataCenter == wanted || v.Role == client.RoleEntry {
 			vms = append(vms, v)
 		}
 	}
--- a/internal/state/recorder/board.go
+++ b/internal/state/recorder/board.go
@@ -112,7 +112,6 @@
 type Summary struct {
 	DataCenter string
 	At         time.Time
-	Sequence   int64
 	// MinRevision is the lowest revision that is in force on its live nodes.
 	MinRevision int64
 	Nodes       []Node
@@ -263,7 +262,7 @@
 			if o.Watcher != s.Watcher {
 				list = append(list, o)
 			} else {
-				isNews = !o.same(s)
+				isNews = !o.Same(s)
 			}
 		}
 		return append(list, s), true
@@ -292,8 +291,8 @@
 	}
 }
 
-// same reports whether two sightings differ only in time and load.
-func (s Sighting) same(o Sighting) bool {
+// Same reports whether two sightings differ only in time and load.
+func (s Sighting) Same(o Sighting) bool {
 	a, b := s.Identity, o.Identity
 	a.Load, b.Load = caller.Load{}, caller.Load{}
 	return a == b && s.Gone == o.Gone && s.Address == o.Address
