--- a/internal/admin/server/server.go
+++ b/internal/admin/server/server.go
@@ -224,7 +224,9 @@
 		answer(w, http.StatusNotFound, Failure{Error: err.Error(), Reason: "not_found"})
 	case client.IsUnknown(err):
 		undecided.Inc()
-		answer(w, http.StatusGatewayTimeout, Failure{Error: "the platform's answer was lost; read the object before trying again", Reason: "unknown"})
+		answer(w, http.StatusGatewayTimeout, Failure{
+			Error: "the platform's answer was lost; read the object before trying again", Reason: "unknown", Stored: o,
+		})
 	default:
 		notStored.Inc()
 		answer(w, http.StatusServiceUnavailable, Failure{Error: "nothing was changed: " + err.Error(), Reason: "platform_unavailable"})
@@ -240,7 +242,8 @@
 	case err == nil && o.ChangeID == c.ChangeID:
 		return o, nil
 	case err == nil && o.Version != c.IfVersion:
-		return nil, trace.CompareFailed("version is %d", o.Version)
+		// Somebody else has written since, possibly on top of this change.
+		return o, cause
 	case trace.IsNotFound(err) && isDelete:
 		return &parser.Object{Kind: c.Key.Kind, Name: c.Key.Name, Version: c.IfVersion, Deleted: true}, nil
 	default:
--- a/internal/cli/starter/starter.go
+++ b/internal/cli/starter/starter.go
@@ -25,6 +25,7 @@
 	exitUsage     = 2
 	headerTimeout = 5 * time.Second
 	stopTimeout   = time.Second
+	recordMode    = 0o600
 )
 
 type output struct{ out, err io.Writer }
@@ -106,6 +107,7 @@
 	Slots         int           `long:"slots" default:"32" description:"requests that run at once"`
 	MaxQueued     int           `long:"max-queued" default:"64" description:"requests that wait; more are refused"`
 	ReportLag     time.Duration `long:"report-lag" default:"200ms" description:"age of the load report"`
+	Record        string        `long:"record" value-name:"FILE" description:"append each execution to a file, as JSON lines"`
 }
 
 // Execute serves as a runner until it is interrupted.
@@ -114,6 +116,15 @@
 		VM: c.VM, Address: c.Address, ChecksFencing: c.ChecksFencing, LoadTime: c.LoadTime, TokenTime: c.TokenTime,
 		Slots: c.Slots, MaxQueued: c.MaxQueued, ReportLag: c.ReportLag,
 	}
+	if c.Record != "" {
+		f, err := os.OpenFile(c.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, recordMode)
+		if err != nil {
+			return fmt.Errorf("record executions: %w", err)
+		}
+		defer f.Close() //nolint:errcheck
+		lines := json.NewEncoder(f)
+		e.Record = func(x engine.Execution) { _ = lines.Encode(x) }
+	}
 	return serve(c.Address, e.Handler(), e.Run)
 }
 
--- a/internal/peer/exchanger/facts.go
+++ b/internal/peer/exchanger/facts.go
@@ -79,7 +79,7 @@
 // learnSender records that a node runs.
 func (x *Exchanger) learnSender(b *encoder.Beat) {
 	n := fromNode(b.Sender)
-	x.Board.Nodes.Update(n.Name, func(old recorder.Node, ok bool) (recorder.Node, bool) {
+	x.Board.Nodes.Update(n.Name, func(old recorder.Node, _ bool) (recorder.Node, bool) {
 		n.HeardAt = time.Now()
 		n.Demand = old.Demand
 		if b.HasDemand {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -71,6 +71,9 @@
 	MaxQueued int
 	// ReportLag is the age of the load report.
 	ReportLag time.Duration
+	// Record, if set, is told of each execution before it starts, so that a test
+	// knows of it even if the process is killed.
+	Record func(Execution)
 
 	once       sync.Once
 	mu         sync.Mutex
@@ -286,6 +289,14 @@
 	e.id.State = caller.StateBroken
 }
 
+// execute records a request that is about to run; the caller holds the lock.
+func (e *Engine) execute(x Execution) {
+	e.executions = append(e.executions, x)
+	if e.Record != nil {
+		e.Record(x)
+	}
+}
+
 // Executions returns the requests that the engine ran.
 func (e *Engine) Executions() []Execution {
 	e.mu.Lock()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -212,7 +212,7 @@
 	case e.id.State != caller.StateReady:
 		return "not_ready"
 	}
-	e.executions = append(e.executions, x)
+	e.execute(x)
 	e.inFlight++
 	return ""
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -71,7 +71,7 @@
 	case e.queued >= orDefault(e.MaxQueued, 64):
 		return "queue_full"
 	}
-	e.executions = append(e.executions, x)
+	e.execute(x)
 	e.streams[s.attempt] = s
 	ctx, cancel := context.WithCancel(e.broken)
 	s.cancelled = cancel
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -76,6 +76,7 @@
 	r := chi.NewRouter()
 	r.Post("/control", s.control)
 	r.Get("/control", s.report)
+	r.Get("/control/changes", s.changes)
 	r.Post("/control/drop_changes", func(http.ResponseWriter, *http.Request) { s.Store.DropChanges() })
 	r.Put("/control/vms/{name}", s.putVM)
 	r.Delete("/control/vms/{name}", s.deleteVM)
@@ -321,6 +322,12 @@
 	answer(w, s.Counts(), nil)
 }
 
+// changes answers with the kept changes of configuration and assignments.
+func (s *Server) changes(w http.ResponseWriter, _ *http.Request) {
+	list, revision, _, err := s.Store.Changes(s.Store.Forgotten())
+	answer(w, client.ObjectList{Revision: revision, Objects: list}, err)
+}
+
 // Counts returns the calls received so far.
 func (s *Server) Counts() Counts {
 	return Counts{
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -155,3 +155,10 @@
 	s.changes = nil
 	s.forgotten = s.revision
 }
+
+// Forgotten returns the largest revision whose change is no longer kept.
+func (s *Store) Forgotten() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forgotten
+}
