Never tell "not run" of a request that an earlier attempt may have run

Cause: a retry of an idempotent call that found no replica reported its own outcome, not_run, although the first attempt's connection had broken after the request was sent. Ruled out: the same in keyed calls; they are never retried after an unknown outcome. Change: the outcome of all attempts is merged.

--- a/internal/cli/starter/starter.go
+++ b/internal/cli/starter/starter.go
@@ -102,6 +102,7 @@
 	VM            string        `long:"vm" required:"true" description:"the VM's name"`
 	Address       string        `long:"address" required:"true" value-name:"IP:PORT" description:"where to serve"`
 	ChecksFencing bool          `long:"checks-fencing" description:"refuse orders with an old fencing number"`
+	IgnoreMembers bool          `long:"ignore-members" description:"do not notice when another VM of the replica has gone"`
 	LoadTime      time.Duration `long:"load-time" default:"500ms" description:"how long loading a model takes"`
 	TokenTime     time.Duration `long:"token-time" default:"5ms" description:"time of one token"`
 	Slots         int           `long:"slots" default:"32" description:"requests that run at once"`
@@ -113,7 +114,8 @@
 // Execute serves as a runner until it is interrupted.
 func (c *runnerCommand) Execute([]string) error {
 	e := &engine.Engine{
-		VM: c.VM, Address: c.Address, ChecksFencing: c.ChecksFencing, LoadTime: c.LoadTime, TokenTime: c.TokenTime,
+		VM: c.VM, Address: c.Address, ChecksFencing: c.ChecksFencing, IgnoresMembers: c.IgnoreMembers,
+		LoadTime: c.LoadTime, TokenTime: c.TokenTime,
 		Slots: c.Slots, MaxQueued: c.MaxQueued, ReportLag: c.ReportLag,
 	}
 	if c.Record != "" {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -67,6 +67,7 @@
 	defer hold.release()
 	a := &answerWriter{w: w, call: c}
 	q := picker.Request{PrefixHash: c.PrefixHash, HasPrefix: c.HasPrefix}
+	var earlier *responder.Failure
 	for {
 		t, failure := f.choose(ctx, c, &q, hold)
 		if failure == nil {
@@ -77,6 +78,8 @@
 		if failure == nil {
 			return nil
 		}
+		failure = withEarlier(failure, earlier)
+		earlier = failure
 		if !f.shouldRetry(ctx, c, a, failure, budget) {
 			return a.finish(failure)
 		}
@@ -89,6 +92,17 @@
 	}
 }
 
+// withEarlier keeps a request whose earlier attempt may have run from being told
+// that it was not run, because a later attempt was not.
+func withEarlier(failure, earlier *responder.Failure) *responder.Failure {
+	if earlier == nil || earlier.Outcome == responder.NotRun || failure.Outcome != responder.NotRun {
+		return failure
+	}
+	merged := *earlier
+	merged.Attempts = failure.Attempts
+	return &merged
+}
+
 func (f *Forwarder) release(t target) {
 	if t.replica != nil {
 		t.replica.Release()
--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -68,6 +68,9 @@
 	// Once carries a call with an idempotency key out at most once; nil means
 	// that such calls are refused.
 	Once func(ctx context.Context, w http.ResponseWriter, c *forwarder.Call) *responder.Failure
+	// Ready reports whether the node's configuration is in force; nil means that
+	// it is. Requests are refused until then.
+	Ready func() bool
 	// Incarnation makes request identities unique across nodes and restarts.
 	Incarnation string
 	// PeerToken is that of nodes that pass requests on; empty refuses them.
@@ -213,6 +216,9 @@
 		w.Header().Set("Connection", "close")
 		return fail(c, http.StatusServiceUnavailable, responder.ReasonShuttingDown, "the node is shutting down")
 	}
+	if s.Ready != nil && !s.Ready() {
+		return fail(c, http.StatusServiceUnavailable, responder.ReasonNotReady, "the node has no configuration yet")
+	}
 	if failure := s.authenticate(r, c); failure != nil {
 		return failure
 	}
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -46,8 +46,10 @@
 	// shareIntervals is how many half probe intervals old a sighting may be to be
 	// shared.
 	shareIntervals = 5
-	peerPing       = 3 * time.Second
-	presenceBeat   = 500 * time.Millisecond
+	// peerGrace is how long a node that has started waits for its peers.
+	peerGrace    = 1500 * time.Millisecond
+	peerPing     = 3 * time.Second
+	presenceBeat = 500 * time.Millisecond
 )
 
 var (
@@ -77,6 +79,8 @@
 	executor  *executor.Executor
 
 	draining  atomic.Bool
+	caughtUp  atomic.Bool
+	started   time.Time
 	stop      chan struct{}
 	stopOnce  sync.Once
 	listeners []net.Listener
@@ -86,7 +90,7 @@
 // New builds a node and opens its listeners. Errors name the address that could
 // not be opened.
 func New(s *loader.Settings, log *slog.Logger) (*Node, error) {
-	n := &Node{Settings: s, Incarnation: uuid.NewString()[:8], Log: log, stop: make(chan struct{})}
+	n := &Node{Settings: s, Incarnation: uuid.NewString()[:8], Log: log, stop: make(chan struct{}), started: time.Now()}
 	n.build()
 	handlers := []struct {
 		address string
@@ -152,7 +156,7 @@
 	}
 	n.gateway = &gatewayserver.Server{
 		Board: n.board, Allocator: n.allocator, Forwarder: n.forwarder,
-		Incarnation: s.Name + "-" + n.Incarnation, PeerToken: s.PeerToken, MaxBodyBytes: int64(s.MaxBodyBytes),
+		Ready: n.mayServe, Incarnation: s.Name + "-" + n.Incarnation, PeerToken: s.PeerToken, MaxBodyBytes: int64(s.MaxBodyBytes),
 	}
 	n.syncer = &syncer.Syncer{Board: n.board, Platform: n.platform, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log}
 	n.prober = &prober.Prober{
@@ -186,8 +190,40 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_platform_calls_total{class=%q,outcome=%q}`, class, outcome)).Inc()
 }
 
-// isReady reports whether callers should be sent to this node.
-func (n *Node) isReady() bool { return !n.draining.Load() && n.board.Revision() > 0 }
+// isReady reports whether callers should be sent to this node. A node that has
+// just started is not ready before it has had time to hear of its peers, nor while
+// it is behind one of them: it would serve by a configuration that is no longer in
+// force.
+func (n *Node) isReady() bool {
+	if n.draining.Load() || n.board.Revision() == 0 {
+		return false
+	}
+	if n.caughtUp.Load() {
+		return true
+	}
+	if time.Since(n.started) < peerGrace || n.board.Revision() < n.newestRevision() {
+		return false
+	}
+	n.caughtUp.Store(true)
+	return true
+}
+
+// mayServe reports whether requests are served. A node that is draining goes on
+// while the balancer moves on.
+func (n *Node) mayServe() bool { return n.draining.Load() || n.isReady() }
+
+// newestRevision returns the largest revision that a peer has reported.
+func (n *Node) newestRevision() int64 {
+	newest := int64(0)
+	n.board.Nodes.Each(func(_ string, x recorder.Node) bool {
+		newest = max(newest, x.Revision)
+		return true
+	})
+	for _, s := range n.freshSummaries() {
+		newest = max(newest, s.MinRevision)
+	}
+	return newest
+}
 
 // Stop starts a graceful stop.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
--- a/internal/proof/tester/cluster_test.go
+++ b/internal/proof/tester/cluster_test.go
@@ -413,6 +413,9 @@
 var direct = &http.Client{Timeout: 5 * time.Second}
 
 func (c *cluster) getJSON(address, path, token string, target any) error {
+	if token == "" {
+		token, _ = c.layout.Settings["admin_token"].(string)
+	}
 	return call(http.MethodGet, address, path, token, nil, target)
 }
 
--- a/internal/proof/tester/scripts_test.go
+++ b/internal/proof/tester/scripts_test.go
@@ -41,24 +41,27 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"cluster":   startCluster,
-			"serving":   forCluster(serving),
-			"crash":     forCluster(eachProcess((*cluster).killProcess)),
-			"freeze":    forCluster(eachProcess((*cluster).freezeProcess)),
-			"thaw":      forCluster(eachProcess((*cluster).thawProcess)),
-			"start":     forCluster(eachProcess((*cluster).startProcess)),
-			"terminate": forCluster(eachProcess((*cluster).stopProcess)),
-			"cut":       forCluster(cut),
-			"heal":      forCluster(heal),
-			"platform":  forCluster(platformFaults),
-			"runner":    forCluster(runnerFaults),
-			"vm":        forCluster(changeVM),
-			"traffic":   forCluster(runTraffic),
-			"check":     forCluster(check),
-			"pass":      forCluster(waitTime),
-			"metric":    forCluster(metric),
-			"race":      forCluster(race),
-			"in_force":  forCluster(inForce),
+			"cluster":      startCluster,
+			"serving":      forCluster(serving),
+			"crash":        forCluster(eachProcess((*cluster).killProcess)),
+			"freeze":       forCluster(eachProcess((*cluster).freezeProcess)),
+			"thaw":         forCluster(eachProcess((*cluster).thawProcess)),
+			"start":        forCluster(eachProcess((*cluster).startProcess)),
+			"terminate":    forCluster(eachProcess((*cluster).stopProcess)),
+			"cut":          forCluster(cut),
+			"heal":         forCluster(heal),
+			"platform":     forCluster(platformFaults),
+			"runner":       forCluster(runnerFaults),
+			"vm":           forCluster(changeVM),
+			"traffic":      forCluster(runTraffic),
+			"check":        forCluster(check),
+			"pass":         forCluster(waitTime),
+			"metric":       forCluster(metric),
+			"race":         forCluster(race),
+			"in_force":     forCluster(inForce),
+			"refused":      forCluster(refused),
+			"ready":        forCluster(ready),
+			"slow_headers": forCluster(slowHeaders),
 		},
 	})
 }
@@ -77,6 +80,7 @@
 	ts.Check(c.start())
 	for name, p := range c.procs {
 		ts.Setenv(strings.ReplaceAll(name, "-", "_")+"_admin", p.admin)
+		ts.Setenv(strings.ReplaceAll(name, "-", "_")+"_peer", p.peer)
 		ts.Setenv(strings.ReplaceAll(name, "-", "_"), p.address)
 	}
 }
@@ -197,6 +201,24 @@
 	return err
 }
 
+// ready NODE WITHIN: waits until the balancer would send callers to the node.
+func ready(c *cluster, args []string) error {
+	within, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	p, err := c.process(args[0])
+	if err != nil {
+		return err
+	}
+	return waitFor(within, func() error {
+		if !p.ready.Load() {
+			return fmt.Errorf("%s is not ready", p.name)
+		}
+		return nil
+	})
+}
+
 // cut FROM TO [up|down|both]
 func cut(c *cluster, args []string) error {
 	direction := "both"
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -31,6 +31,8 @@
 	SlowMS int `json:"slow_ms"`
 	// LoseWriteAnswers closes the connection after a write took effect.
 	LoseWriteAnswers bool `json:"lose_write_answers"`
+	// StaleRevisions makes snapshots as old as so many revisions.
+	StaleRevisions int64 `json:"stale_revisions"`
 	// ListLagMS is the age of the list of VMs.
 	ListLagMS int `json:"list_lag_ms"`
 }
@@ -261,7 +263,11 @@
 
 func (s *Server) snapshot(w http.ResponseWriter, _ *http.Request) {
 	l := client.ObjectList{}
-	l.Objects, l.Revision = s.Store.List(parser.ConfigKinds, "")
+	if behind := s.currentFaults().StaleRevisions; behind > 0 {
+		l.Objects, l.Revision = s.Store.ListAt(parser.ConfigKinds, behind)
+	} else {
+		l.Objects, l.Revision = s.Store.List(parser.ConfigKinds, "")
+	}
 	answer(w, l, nil)
 }
 
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -162,3 +162,25 @@
 	defer s.mu.Unlock()
 	return s.forgotten
 }
+
+// ListAt returns the objects as they were some revisions ago, as a replica of
+// the platform's store that is behind would, as far as changes are kept.
+func (s *Store) ListAt(kinds []parser.Kind, behind int64) ([]parser.Object, int64) {
+	s.mu.Lock()
+	revision := max(s.revision-behind, s.forgotten)
+	state := map[parser.Key]parser.Object{}
+	for _, o := range s.changes {
+		if o.Version > revision {
+			break
+		}
+		state[o.Key()] = o
+	}
+	s.mu.Unlock()
+	list := []parser.Object{}
+	for k, o := range state {
+		if slices.Contains(kinds, k.Kind) && !o.Deleted {
+			list = append(list, o)
+		}
+	}
+	return list, revision
+}
