--- a/internal/cli/starter/starter.go
+++ b/internal/cli/starter/starter.go
@@ -40,6 +40,7 @@
 	}{
 		{"platform", "the platform: objects and the list of VMs", &platformCommand{output: o}},
 		{"runner", "a runner VM: a model engine or a plain service", &runnerCommand{output: o}},
+		{"load", "offers load and reports what callers saw", &loadCommand{output: o}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -26,6 +26,28 @@
 	Map map[string]string
 	// Timeout bounds opening a connection; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Count, if set, is told of the bytes that each read and write moved.
+	Count func(read, written int)
+}
+
+// countingConn tells of the bytes that it moves.
+type countingConn struct {
+	net.Conn
+	count func(read, written int)
+}
+
+// Read counts what was read.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count(n, 0)
+	return n, err
+}
+
+// Write counts what was written.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(0, n)
+	return n, err
 }
 
 // DialContext opens a connection to address. Errors are those of net.Dialer.
@@ -37,7 +59,11 @@
 	if n.Timeout == 0 {
 		n.Timeout = DefaultTimeout
 	}
-	return n.DialContext(ctx, network, address)
+	conn, err := n.DialContext(ctx, network, address)
+	if err != nil || d.Count == nil {
+		return conn, err
+	}
+	return &countingConn{Conn: conn, count: d.Count}, nil
 }
 
 // HTTPClient returns a client that keeps perHost idle connections to each
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -140,12 +140,12 @@
 	s := n.Settings
 	lifetime := loader.Millis(s.ProofLifetimeMS)
 	dial := &dialer.Dialer{Map: s.AddressMap}
-	control := dial.HTTPClient(controlIdleConns)
-	probes := &caller.Caller{HTTP: control, Timeout: loader.Millis(s.ProbeIntervalMS)}
-	orders := &caller.Caller{HTTP: control}
+	runners := countedDialer(s, "runner").HTTPClient(controlIdleConns)
+	probes := &caller.Caller{HTTP: runners, Timeout: loader.Millis(s.ProbeIntervalMS)}
+	orders := &caller.Caller{HTTP: runners}
 	n.board = &recorder.Board{}
 	budget := &client.Budget{CallsPerSecond: s.PlatformCallsPerSecond}
-	n.platform = &client.Client{BaseURL: s.PlatformURL, HTTP: control, Admit: budget.Admit, Count: countCall}
+	n.platform = &client.Client{BaseURL: s.PlatformURL, HTTP: countedDialer(s, "platform").HTTPClient(controlIdleConns), Admit: budget.Admit, Count: countCall}
 	n.verifier = &verifier.Verifier{Board: n.board, Self: s.Name, Lifetime: lifetime}
 	n.director = &director.Director{Board: n.board, Verifier: n.verifier, DataCenter: s.DataCenter}
 	n.allocator = &allocator.Allocator{Board: n.board, Director: n.director, Self: s.Name, DataCenter: s.DataCenter}
@@ -171,7 +171,7 @@
 		},
 	}
 	n.exchanger = &exchanger.Exchanger{
-		Board: n.board, Self: s.Name, DataCenter: s.DataCenter, Token: s.PeerToken, Seeds: s.Peers, Dial: dial, Log: n.Log,
+		Board: n.board, Self: s.Name, DataCenter: s.DataCenter, Token: s.PeerToken, Seeds: s.Peers, Dial: countedDialer(s, "peer"), Log: n.Log,
 		ShareWithin: shareIntervals * loader.Millis(s.ProbeIntervalMS) / 2, Free: n.free,
 	}
 	n.forwarder.Remote = n.remote
@@ -182,6 +182,16 @@
 	}
 }
 
+// countedDialer returns a dialer for control traffic, whose bytes are counted.
+func countedDialer(s *loader.Settings, to string) *dialer.Dialer {
+	in := metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_control_bytes_total{to=%q,direction="in"}`, to))
+	out := metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_control_bytes_total{to=%q,direction="out"}`, to))
+	return &dialer.Dialer{Map: s.AddressMap, Count: func(read, written int) {
+		in.Add(read)
+		out.Add(written)
+	}}
+}
+
 func countCall(class client.Class, err error) {
 	outcome := "answered"
 	if err != nil {
--- a/internal/proof/tester/scripts_test.go
+++ b/internal/proof/tester/scripts_test.go
@@ -41,27 +41,28 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/scripts",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"cluster":      startCluster,
-			"serving":      forCluster(serving),
-			"crash":        forCluster(eachProcess((*cluster).killProcess)),
-			"freeze":       forCluster(eachProcess((*cluster).freezeProcess)),
-			"thaw":         forCluster(eachProcess((*cluster).thawProcess)),
-			"start":        forCluster(eachProcess((*cluster).startProcess)),
-			"terminate":    forCluster(eachProcess((*cluster).stopProcess)),
-			"cut":          forCluster(cut),
-			"heal":         forCluster(heal),
-			"platform":     forCluster(platformFaults),
-			"runner":       forCluster(runnerFaults),
-			"vm":           forCluster(changeVM),
-			"traffic":      forCluster(runTraffic),
-			"check":        forCluster(check),
-			"pass":         forCluster(waitTime),
-			"metric":       forCluster(metric),
-			"race":         forCluster(race),
-			"in_force":     forCluster(inForce),
-			"refused":      forCluster(refused),
-			"ready":        forCluster(ready),
-			"slow_headers": forCluster(slowHeaders),
+			"cluster":        startCluster,
+			"serving":        forCluster(serving),
+			"crash":          forCluster(eachProcess((*cluster).killProcess)),
+			"freeze":         forCluster(eachProcess((*cluster).freezeProcess)),
+			"thaw":           forCluster(eachProcess((*cluster).thawProcess)),
+			"start":          forCluster(eachProcess((*cluster).startProcess)),
+			"terminate":      forCluster(eachProcess((*cluster).stopProcess)),
+			"cut":            forCluster(cut),
+			"heal":           forCluster(heal),
+			"platform":       forCluster(platformFaults),
+			"runner":         forCluster(runnerFaults),
+			"vm":             forCluster(changeVM),
+			"traffic":        forCluster(runTraffic),
+			"check":          forCluster(check),
+			"pass":           forCluster(waitTime),
+			"metric":         forCluster(metric),
+			"race":           forCluster(race),
+			"in_force":       forCluster(inForce),
+			"forget_changes": forCluster(forgetChanges),
+			"refused":        forCluster(refused),
+			"ready":          forCluster(ready),
+			"slow_headers":   forCluster(slowHeaders),
 		},
 	})
 }
@@ -237,6 +238,11 @@
 	return call(http.MethodPost, c.platform, "/control", "", json.RawMessage(args[0]), nil)
 }
 
+// forget_changes makes every watch's revision too old.
+func forgetChanges(c *cluster, _ []string) error {
+	return call(http.MethodPost, c.platform, "/control/drop_changes", "", nil, nil)
+}
+
 // runner VM FAULTS
 func runnerFaults(c *cluster, args []string) error {
 	p, err := c.process(args[0])
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -328,10 +328,9 @@
 	answer(w, s.Counts(), nil)
 }
 
-// changes answers with the kept changes of configuration and assignments.
+// changes answers with all changes of configuration and assignments.
 func (s *Server) changes(w http.ResponseWriter, _ *http.Request) {
-	list, revision, _, err := s.Store.Changes(s.Store.Forgotten())
-	answer(w, client.ObjectList{Revision: revision, Objects: list}, err)
+	answer(w, client.ObjectList{Objects: s.Store.History()}, nil)
 }
 
 // Counts returns the calls received so far.
--- a/internal/standin/storer/store.go
+++ b/internal/standin/storer/store.go
@@ -26,7 +26,9 @@
 	forgotten int64
 	objects   map[parser.Key]parser.Object
 	changes   []parser.Object
-	changed   chan struct{}
+	// history holds all changes, also those that watches can no longer see.
+	history []parser.Object
+	changed chan struct{}
 }
 
 // Put writes o if its stored version equals ifVersion, where 0 means that it
@@ -93,6 +95,7 @@
 		limit = defaultKeptChanges
 	}
 	s.changes = append(s.changes, o)
+	s.history = append(s.history, o)
 	if n := len(s.changes) - limit; n > 0 {
 		s.forgotten = s.changes[n-1].Version
 		s.changes = slices.Clone(s.changes[n:])
@@ -156,20 +159,20 @@
 	s.forgotten = s.revision
 }
 
-// Forgotten returns the largest revision whose change is no longer kept.
-func (s *Store) Forgotten() int64 {
+// History returns all changes of the kinds that watches show.
+func (s *Store) History() []parser.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.forgotten
+	return slices.Clone(s.history)
 }
 
 // ListAt returns the objects as they were some revisions ago, as a replica of
-// the platform's store that is behind would, as far as changes are kept.
+// the platform's store that is behind would.
 func (s *Store) ListAt(kinds []parser.Kind, behind int64) ([]parser.Object, int64) {
 	s.mu.Lock()
-	revision := max(s.revision-behind, s.forgotten)
+	revision := max(s.revision-behind, 0)
 	state := map[parser.Key]parser.Object{}
-	for _, o := range s.changes {
+	for _, o := range s.history {
 		if o.Version > revision {
 			break
 		}
