--- a/internal/admission/allocator/allocator.go
+++ b/internal/admission/allocator/allocator.go
@@ -157,8 +157,14 @@
 		}
 		capacity := float64(p.Proved() * spec.InFlightLimit())
 		own, total := sum(local, a.Self, func(d recorder.Demand) bool { return d.Deployment == name })
-		contended := int(math.Ceil(capacity * limiter.Share(own, total, len(local))))
-		free := gate.InUse() + p.Room()/len(local)
-		gate.SetLimit(max(contended, free, 1))
+		part := limiter.Share(own, total, len(local))
+		p.Guarantee(part)
+		places := int(math.Ceil(capacity * part))
+		if room := p.Room(); room > 0 {
+			// What a node holds beyond its part it keeps only while there is room:
+			// otherwise the others' requests would wait for places in vain.
+			places = max(places, p.InFlight()+room/len(local))
+		}
+		gate.SetLimit(max(places, 1))
 	}
 }
--- a/internal/admission/scheduler/scheduler.go
+++ b/internal/admission/scheduler/scheduler.go
@@ -7,12 +7,16 @@
 // waits in its own queue; the others' requests pass it. Requests whose time in
 // queue has run out are dropped before they take a place.
 //
+// While several teams are active, a team that holds more than its share leaves an
+// eighth of the places free, so that the others' next requests need not wait for
+// one of its own to end.
+//
 // # Usage
 //
 //	g := &scheduler.Gate{}
 //	g.SetLimit(64)
 //	if err := g.Acquire(ctx, scheduler.Request{Team: "north", Weight: 1, Cost: 200}); err == nil {
-//		defer g.Release()
+//		defer g.Release("north")
 //	}
 package scheduler
 
@@ -47,6 +51,16 @@
 	QueueTimeout time.Duration
 }
 
+const (
+	// reservedPart is the part of the places, as a divisor, that teams over their
+	// share leave free for the others.
+	reservedPart = 8
+	// activeTime is how long a team counts as active after its last request.
+	activeTime = 10 * time.Second
+	// shareInterval is how often the teams' shares are computed.
+	shareInterval = 100 * time.Millisecond
+)
+
 // Gate bounds and orders requests. The zero value has no places.
 type Gate struct {
 	mu      sync.Mutex
@@ -55,6 +69,10 @@
 	queued  int
 	virtual float64
 	teams   map[string]*queue
+	// activeWeight and activeTeams sum up the teams that were active lately.
+	activeWeight float64
+	activeTeams  int
+	sharedAt     time.Time
 }
 
 // queue is one team's requests in order of arrival.
@@ -62,9 +80,13 @@
 	waiting []*waiter
 	// finish is the virtual time at which the team's last request would end.
 	finish float64
+	inUse  int
+	weight float64
+	seenAt time.Time
 }
 
 type waiter struct {
+	team    *queue
 	start   float64
 	granted chan struct{}
 	gone    bool
@@ -129,25 +151,64 @@
 	if g.limit == 0 {
 		return nil, ErrClosed
 	}
+	now := time.Now()
 	q := g.team(r.Team)
+	q.weight, q.seenAt = weight(r), now
+	g.share(now)
 	start := max(g.virtual, q.finish)
-	finish := start + max(r.Cost, 1)/weight(r)
-	if g.inUse < g.limit && g.queued == 0 {
-		g.inUse++
+	finish := start + max(r.Cost, 1)/q.weight
+	if g.mayTake(q) {
 		g.virtual = start
 		q.finish = finish
+		g.take(q)
 		return nil, nil
 	}
 	if len(q.waiting) >= r.MaxQueued {
 		return nil, ErrQueueFull
 	}
-	w := &waiter{start: start, granted: make(chan struct{})}
+	w := &waiter{team: q, start: start, granted: make(chan struct{})}
 	q.finish = finish
 	q.waiting = append(q.waiting, w)
 	g.queued++
 	return w, nil
 }
 
+func (g *Gate) take(q *queue) {
+	g.inUse++
+	q.inUse++
+}
+
+// mayTake reports whether there is a place for a team's next request.
+func (g *Gate) mayTake(q *queue) bool {
+	places := g.limit
+	if g.activeTeams > 1 && g.isOverShare(q) {
+		places -= (g.limit + reservedPart - 1) / reservedPart
+	}
+	return g.inUse < places
+}
+
+// isOverShare reports whether a team holds at least its share of the places.
+func (g *Gate) isOverShare(q *queue) bool {
+	return float64(q.inUse)*g.activeWeight >= float64(g.limit)*q.weight
+}
+
+// share sums up the active teams, and forgets those that have long been idle.
+func (g *Gate) share(now time.Time) {
+	if now.Sub(g.sharedAt) < shareInterval {
+		return
+	}
+	g.sharedAt = now
+	g.activeWeight, g.activeTeams = 0, 0
+	for name, q := range g.teams {
+		if now.Sub(q.seenAt) < activeTime || q.inUse > 0 || len(q.waiting) > 0 {
+			g.activeWeight += q.weight
+			g.activeTeams++
+		} else if q.finish <= g.virtual {
+			delete(g.teams, name)
+		}
+	}
+}
+
 func weight(r Request) float64 {
 	if r.Weight == 0 {
 		return 1
@@ -175,6 +236,7 @@
 	select {
 	case <-w.granted:
 		g.inUse--
+		w.team.inUse--
 		g.dispatch()
 	default:
 		w.gone = true
@@ -183,17 +245,20 @@
 	return reason
 }
 
-// Release gives a place back.
-func (g *Gate) Release() {
+// Release gives a team's place back.
+func (g *Gate) Release(team string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inUse--
+	if q := g.teams[team]; q != nil {
+		q.inUse--
+	}
 	g.dispatch()
 }
 
 // dispatch grants free places; the caller holds the lock.
 func (g *Gate) dispatch() {
-	for g.inUse < g.limit && g.queued > 0 {
+	for g.queued > 0 {
 		q := g.next()
 		if q == nil {
 			return
@@ -201,24 +266,21 @@
 		w := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		g.queued--
-		g.inUse++
+		g.take(q)
 		g.virtual = max(g.virtual, w.start)
 		close(w.granted)
 	}
 }
 
-// next returns the queue whose first request starts earliest in virtual time,
-// after dropping requests that have gone, and forgets idle teams.
+// next returns the queue whose first request starts earliest in virtual time, of
+// those that may take a place, after dropping requests that have gone.
 func (g *Gate) next() *queue {
 	var best *queue
-	for name, q := range g.teams {
+	for _, q := range g.teams {
 		for len(q.waiting) > 0 && q.waiting[0].gone {
 			q.waiting = q.waiting[1:]
 		}
-		if len(q.waiting) == 0 {
-			if q.finish <= g.virtual {
-				delete(g.teams, name)
-			}
+		if len(q.waiting) == 0 || !g.mayTake(q) {
 			continue
 		}
 		if best == nil || q.waiting[0].start < best.waiting[0].start {
--- a/internal/admission/scheduler/scheduler_test.go
+++ b/internal/admission/scheduler/scheduler_test.go
@@ -29,7 +29,7 @@
 				all.Go(func() {
 					if g.Acquire(context.Background(), Request{Team: team, Weight: w, Cost: c, MaxQueued: 1000}) == nil {
 						order <- team
-						g.Release()
+						g.Release(team)
 					}
 				})
 				for g.Queued() == before {
@@ -39,7 +39,7 @@
 		}
 		queue("noisy", 1, cost, 200)
 		queue("quiet", weight, cost, 20)
-		g.Release()
+		g.Release("first")
 		all.Wait()
 		close(order)
 		noisyBefore, quiet := 0, 0
@@ -66,7 +66,8 @@
 	var all sync.WaitGroup
 	for i := range 2000 {
 		all.Go(func() {
-			r := Request{Team: string(rune('a' + i%5)), MaxQueued: 1000, QueueTimeout: time.Duration(i%7) * 100 * time.Microsecond}
+			team := string(rune('a' + i%5))
+			r := Request{Team: team, MaxQueued: 1000, QueueTimeout: time.Duration(i%7) * 100 * time.Microsecond}
 			if r.QueueTimeout == 0 {
 				r.QueueTimeout = time.Second
 			}
@@ -74,7 +75,7 @@
 			switch {
 			case err == nil:
 				time.Sleep(10 * time.Microsecond)
-				g.Release()
+				g.Release(team)
 			case !errors.Is(err, ErrQueueTimeout) && !errors.Is(err, ErrQueueFull):
 				t.Error(err)
 			}
@@ -95,6 +96,6 @@
 		if err := g.Acquire(context.Background(), r); err != nil {
 			b.Fatal(err)
 		}
-		g.Release()
+		g.Release("team")
 	}
 }
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -49,11 +49,12 @@
 // place is a request's hold on a place of its deployment.
 type place struct {
 	gate *scheduler.Gate
+	team string
 }
 
 func (p *place) release() {
 	if p.gate != nil {
-		p.gate.Release()
+		p.gate.Release(p.team)
 		p.gate = nil
 	}
 }
@@ -63,7 +64,7 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, c *Call) *responder.Failure {
 	budget := f.budget(c.Deployment)
 	budget.Earn()
-	hold := &place{}
+	hold := &place{team: c.Team}
 	defer hold.release()
 	a := &answerWriter{w: w, call: c}
 	q := picker.Request{PrefixHash: c.PrefixHash, HasPrefix: c.HasPrefix}
--- a/internal/gateway/forwarder/forwarder_test.go
+++ b/internal/gateway/forwarder/forwarder_test.go
@@ -246,3 +246,21 @@
 		}
 	})
 }
+
+// BenchmarkRelay measures what passing one token on costs, without the network.
+func BenchmarkRelay(b *testing.B) {
+	stream := strings.Builder{}
+	for i := range 1000 {
+		_, _ = fmt.Fprintf(&stream, "id: a:%d\ndata: {\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n", i)
+	}
+	stream.WriteString("id: a:1000\ndata: {\"finish_reason\":\"stop\"}\n\ndata: [DONE]\n\n")
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		c := &Call{RequestID: "q", Spec: &parser.DeploymentSpec{Type: parser.TypeModel}}
+		s := &relay{call: c, attempt: "a", writer: &answerWriter{w: w, call: c}}
+		if err := s.copy(strings.NewReader(stream.String())); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -46,8 +46,8 @@
 	// shareIntervals is how many half probe intervals old a sighting may be to be
 	// shared.
 	shareIntervals = 5
-	// peerGrace is how long a node that has started waits for its peers.
-	peerGrace    = 1500 * time.Millisecond
+	// peerGrace is how long a node that has started waits for a first peer.
+	peerGrace    = 5 * time.Second
 	peerPing     = 3 * time.Second
 	presenceBeat = 500 * time.Millisecond
 )
@@ -201,9 +201,9 @@
 }
 
 // isReady reports whether callers should be sent to this node. A node that has
-// just started is not ready before it has had time to hear of its peers, nor while
-// it is behind one of them: it would serve by a configuration that is no longer in
-// force.
+// just started is not ready before it has heard of a peer, or of none for a while,
+// nor while it is behind one: it would serve by a configuration that is no longer
+// in force.
 func (n *Node) isReady() bool {
 	if n.draining.Load() || n.board.Revision() == 0 {
 		return false
@@ -211,7 +211,9 @@
 	if n.caughtUp.Load() {
 		return true
 	}
-	if time.Since(n.started) < peerGrace || n.board.Revision() < n.newestRevision() {
+	newest, heard := n.newestRevision()
+	isAlone := len(n.Settings.Peers) == 0 || time.Since(n.started) >= peerGrace
+	if !heard && !isAlone || n.board.Revision() < newest {
 		return false
 	}
 	n.caughtUp.Store(true)
@@ -222,17 +224,18 @@
 // while the balancer moves on.
 func (n *Node) mayServe() bool { return n.draining.Load() || n.isReady() }
 
-// newestRevision returns the largest revision that a peer has reported.
-func (n *Node) newestRevision() int64 {
-	newest := int64(0)
-	n.board.Nodes.Each(func(_ string, x recorder.Node) bool {
+// newestRevision returns the largest revision that a peer has reported, and
+// whether any was heard since the node started.
+func (n *Node) newestRevision() (newest int64, heard bool) {
+	n.board.Nodes.Each(func(name string, x recorder.Node) bool {
 		newest = max(newest, x.Revision)
+		heard = heard || name != n.Settings.Name && x.HeardAt.After(n.started)
 		return true
 	})
 	for _, s := range n.freshSummaries() {
 		newest = max(newest, s.MinRevision)
 	}
-	return newest
+	return newest, heard
 }
 
 // Stop starts a graceful stop.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +25,13 @@
 	// mean before its prefixes go elsewhere.
 	loadBoundNum = 5
 	loadBoundDen = 4
+	// nearLimitNum / nearLimitDen is the part of its limit from which a replica
+	// counts as nearly full.
+	nearLimitNum = 3
+	nearLimitDen = 4
+	// ownWeight is how much more one of this node's requests counts in a choice
+	// than one of the others'.
+	ownWeight = 64
 )
 
 // Errors of Pick.
@@ -185,6 +193,23 @@
 	return int(t.room.Load())
 }
 
+// Guarantee sets the part of every replica's places that is this node's own, from
+// 0 to 1.
+func (p *Picker) Guarantee(part float64) {
+	for _, r := range p.Replicas() {
+		r.guaranteed.Store(int64(math.Round(float64(r.MaxInFlight) * part)))
+	}
+}
+
+// InFlight returns this node's requests in progress on all replicas.
+func (p *Picker) InFlight() int {
+	n := int64(0)
+	for _, r := range p.Replicas() {
+		n += r.InFlight()
+	}
+	return int(n)
+}
+
 // Pick chooses a replica and counts a request on it; the caller releases it.
 // Errors: ErrNoReplica, ErrFull.
 func (p *Picker) Pick(q Request) (*Replica, error) {
@@ -194,7 +219,10 @@
 	}
 	r := t.byPrefix(&q)
 	if r == nil {
-		r = t.bySample(&q)
+		r = t.bySample(&q, true)
+	}
+	if r == nil {
+		r = t.bySample(&q, false)
 	}
 	if r == nil {
 		var err error
@@ -220,23 +248,33 @@
 		}
 		return 1
 	})
-	bound := t.meanLoad.Load()*loadBoundNum/loadBoundDen + 1
+	mean := t.meanLoad.Load()
 	for n := range ringSteps {
 		r := t.replicas[t.ring[(i+n)%len(t.ring)].replica]
-		if r.Load() <= bound && !r.isSlow.Load() && usable(r, q) {
+		if r.isWithinBound(mean) && !r.isSlow.Load() && usable(r, q) {
 			return r
 		}
 	}
 	return nil
 }
 
-// bySample returns the less loaded of two usable replicas drawn at random.
-func (t *table) bySample(q *Request) *Replica {
+// isWithinBound reports whether a replica may get a request for the sake of its
+// prefix cache: not if it has clearly more than the mean load, nor if it is near
+// its limit and this node's own part of it is used up.
+func (r *Replica) isWithinBound(mean int64) bool {
+	load := r.Load()
+	isNearLimit := load*nearLimitDen >= r.MaxInFlight*nearLimitNum
+	return load <= mean*loadBoundNum/loadBoundDen+1 && (!isNearLimit || r.hasOwnRoom())
+}
+
+// bySample returns the less loaded of two usable replicas drawn at random, of
+// which this node's own part is not used up if ownOnly.
+func (t *table) bySample(q *Request, ownOnly bool) *Replica {
 	var best *Replica
 	found := 0
 	for range 2 * samplePairs {
 		r := t.replicas[rand.IntN(len(t.replicas))]
-		if !usable(r, q) {
+		if ownOnly && !r.hasOwnRoom() || !usable(r, q) {
 			continue
 		}
 		found++
--- a/internal/routing/picker/replica.go
+++ b/internal/routing/picker/replica.go
@@ -23,7 +23,9 @@
 	provedUntil atomic.Int64
 	closed      atomic.Bool
 	tokenMicros atomic.Int64
-	isSlow      atomic.Bool
+	// guaranteed is this node's own part of MaxInFlight.
+	guaranteed atomic.Int64
+	isSlow     atomic.Bool
 }
 
 var processStart = time.Now()
@@ -76,12 +78,24 @@
 // Release ends a request that Pick counted.
 func (r *Replica) Release() { r.inFlight.Add(-1) }
 
-// score is the load that a choice compares; a straggler's counts several times.
+// score is what a choice compares: this node's own requests first, which it knows
+// exactly, and among equals the others', which it knows from lagging reports. A
+// straggler's count several times.
 func (r *Replica) score() int64 {
+	own := r.inFlight.Load()
+	score := own*ownWeight + min(r.Load()-own, ownWeight-1)
 	if r.isSlow.Load() {
-		return (r.Load() + 1) * stragglerPenalty
+		return (score + ownWeight) * stragglerPenalty
 	}
-	return r.Load()
+	return score
 }
 
-func (r *Replica) hasRoom() bool { return r.Load() < r.MaxInFlight }
+func (r *Replica) hasOwnRoom() bool { return r.inFlight.Load() < r.guaranteed.Load() }
+
+// hasRoom reports whether the replica can take one more request from this node:
+// within the node's own part always, beyond it if the replica seems not full.
+// The own part is not compared with reports, which lag, or a node would wait for
+// places that others have long given back.
+func (r *Replica) hasRoom() bool {
+	return r.hasOwnRoom() || r.Load() < r.MaxInFlight
+}
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -92,8 +92,8 @@
 		}
 		node := g.Plan.Nodes[r.IntN(len(g.Plan.Nodes))]
 		isPlain := r.Float64() < t.PlainShare
-		prompt := p.next(n)
-		g.sent.Go(func() { g.send(ctx, team, node, isPlain, prompt, next) })
+		prompt, due := p.next(n), next
+		g.sent.Go(func() { g.send(ctx, team, node, isPlain, prompt, due) })
 	}
 }
 
--- a/internal/standin/storer/server.go
+++ b/internal/standin/storer/server.go
@@ -31,7 +31,7 @@
 	SlowMS int `json:"slow_ms"`
 	// LoseWriteAnswers closes the connection after a write took effect.
 	LoseWriteAnswers bool `json:"lose_write_answers"`
-	// StaleRevisions makes snapshots as old as so many revisions.
+	// StaleRevisions makes snapshots and watches as old as so many revisions.
 	StaleRevisions int64 `json:"stale_revisions"`
 	// ListLagMS is the age of the list of VMs.
 	ListLagMS int `json:"list_lag_ms"`
@@ -281,6 +281,7 @@
 	expired := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		changes, revision, changed, err := s.Store.Changes(after)
+		changes, revision = hideNewest(changes, revision, s.currentFaults().StaleRevisions)
 		if err != nil || len(changes) > 0 {
 			answer(w, client.ObjectList{Revision: revision, Objects: changes}, err)
 			return
@@ -299,6 +300,12 @@
 	}
 }
 
+// hideNewest drops the changes of the newest revisions.
+func hideNewest(changes []parser.Object, revision, hidden int64) ([]parser.Object, int64) {
+	revision -= hidden
+	return slices.DeleteFunc(changes, func(o parser.Object) bool { return o.Version > revision }), revision
+}
+
 func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
 	l := s.laggedList()
 	if r.URL.Query().Get("after") == strconv.FormatInt(l.Revision, 10) {
