--- a/internal/admin/server/status.go
+++ b/internal/admin/server/status.go
@@ -2,11 +2,13 @@
 
 // Status describes what the system has achieved, as one node sees it.
 type Status struct {
-	Node       string `json:"node"`
-	DataCenter string `json:"data_center"`
-	Ready      bool   `json:"ready"`
-	Draining   bool   `json:"draining"`
-	Watching   bool   `json:"watching"`
+	Node string `json:"node"`
+	// Incarnation changes each time the node starts.
+	Incarnation string `json:"incarnation"`
+	DataCenter  string `json:"data_center"`
+	Ready       bool   `json:"ready"`
+	Draining    bool   `json:"draining"`
+	Watching    bool   `json:"watching"`
 	// Revision is the configuration revision in force on this node.
 	Revision    int64              `json:"revision"`
 	DataCenters []DataCenterStatus `json:"data_centers"`
--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -35,6 +35,7 @@
 	DefaultMaxBodyBytes    = 4 << 20
 	DefaultProbeIntervalMS = 500
 	DefaultProofLifetimeMS = 2_500
+	DefaultProbeWatchers   = 2
 	DefaultPlatformCalls   = 20
 	DefaultLogFormat       = "text"
 	DefaultLogLevel        = "info"
@@ -81,6 +82,8 @@
 	// ProofLifetimeMS is how long a sighting of a VM proves that it serves;
 	// default 2500. At least three probe intervals.
 	ProofLifetimeMS int `json:"proof_lifetime_ms"`
+	// ProbeWatchers is the number of nodes that watch each VM; default 2.
+	ProbeWatchers int `json:"probe_watchers"`
 	// PlatformCallsPerSecond bounds the node's calls to the platform; default 20.
 	PlatformCallsPerSecond float64 `json:"platform_calls_per_second"`
 	// ReloadMS is the expected time to load a replica; default 30000.
@@ -149,6 +152,7 @@
 	fill(&s.MaxBodyBytes, DefaultMaxBodyBytes)
 	fill(&s.ProbeIntervalMS, DefaultProbeIntervalMS)
 	fill(&s.ProofLifetimeMS, DefaultProofLifetimeMS)
+	fill(&s.ProbeWatchers, DefaultProbeWatchers)
 	fill(&s.PlatformCallsPerSecond, DefaultPlatformCalls)
 }
 
@@ -219,6 +223,7 @@
 		{"max_body_bytes", float64(s.MaxBodyBytes), 1, 64 << 20},
 		{"probe_interval_ms", float64(s.ProbeIntervalMS), 10, maxMillis},
 		{"proof_lifetime_ms", float64(s.ProofLifetimeMS), float64(minProbesPerLifetime * s.ProbeIntervalMS), maxMillis},
+		{"probe_watchers", float64(s.ProbeWatchers), 1, 16},
 		{"platform_calls_per_second", s.PlatformCallsPerSecond, 1, 1e4},
 		{"reload_ms", float64(s.ReloadMS), 0, maxMillis},
 		{"silent_return_ms", float64(s.SilentReturnMS), 0, maxMillis},
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -161,7 +161,7 @@
 	n.syncer = &syncer.Syncer{Board: n.board, Platform: n.platform, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log}
 	n.prober = &prober.Prober{
 		Board: n.board, Self: s.Name, DataCenter: s.DataCenter, Lifetime: lifetime,
-		Interval: loader.Millis(s.ProbeIntervalMS), Identity: probes.Identity, Log: n.Log,
+		Interval: loader.Millis(s.ProbeIntervalMS), Identity: probes.Identity, Watchers: s.ProbeWatchers, Log: n.Log,
 	}
 	n.fleet = &controller.Controller{
 		Board: n.board, Platform: n.platform, Verifier: n.verifier, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log,
--- a/internal/node/assembler/status.go
+++ b/internal/node/assembler/status.go
@@ -19,7 +19,7 @@
 // status describes the system as this node sees it.
 func (n *Node) status() adminserver.Status {
 	s := adminserver.Status{
-		Node: n.Settings.Name, DataCenter: n.Settings.DataCenter, Ready: n.isReady(), Draining: n.draining.Load(),
+		Node: n.Settings.Name, Incarnation: n.Incarnation, DataCenter: n.Settings.DataCenter, Ready: n.isReady(), Draining: n.draining.Load(),
 		Watching: n.syncer.Watching(), Revision: n.board.Revision(),
 		DataCenters: n.dataCenters(), Deployments: n.deployments(),
 	}
--- a/internal/peer/exchanger/facts.go
+++ b/internal/peer/exchanger/facts.go
@@ -37,14 +37,14 @@
 
 // dropMissing removes the sender's sightings that the first beat of its stream
 // does not repeat.
-func (x *Exchanger) dropMissing(b *encoder.Beat) {
+func (x *Exchanger) dropMissing(sender string, b *encoder.Beat) {
 	present := map[string]bool{}
 	for _, s := range b.Sightings {
 		present[s.Vm] = true
 	}
 	x.Board.Sightings.Each(func(vm string, list []recorder.Sighting) bool {
 		for _, s := range list {
-			if s.Watcher == b.Sender.Name && !present[vm] {
+			if s.Watcher == sender && !present[vm] {
 				x.Board.DropSighting(vm, s.Watcher)
 			}
 		}
@@ -52,16 +52,16 @@
 	})
 }
 
-func (x *Exchanger) takeSightings(b *encoder.Beat) {
+func (x *Exchanger) takeSightings(sender string, b *encoder.Beat) {
 	now := time.Now()
 	for _, s := range b.Sightings {
-		x.Board.SetSighting(s.Vm, fromSighting(b.Sender.Name, now, s))
+		x.Board.SetSighting(s.Vm, fromSighting(sender, now, s))
 	}
 	for _, vm := range b.Withdrawn {
-		x.Board.DropSighting(vm, b.Sender.Name)
+		x.Board.DropSighting(vm, sender)
 	}
 	for _, h := range b.Loads {
-		x.takeLoad(b.Sender.Name, h, now)
+		x.takeLoad(sender, h, now)
 	}
 }
 
@@ -77,8 +77,8 @@
 }
 
 // learnSender records that a node runs.
-func (x *Exchanger) learnSender(b *encoder.Beat) {
-	n := fromNode(b.Sender)
+func (x *Exchanger) learnSender(n recorder.Node, b *encoder.Beat) {
+	n.Revision = b.Revision
 	x.Board.Nodes.Update(n.Name, func(old recorder.Node, _ bool) (recorder.Node, bool) {
 		n.HeardAt = time.Now()
 		n.Demand = old.Demand
--- a/internal/peer/exchanger/link.go
+++ b/internal/peer/exchanger/link.go
@@ -40,6 +40,7 @@
 	sentLeaving map[string]recorder.LeavingMark
 	sentDemand  []recorder.Demand
 	sentNodes   map[string]recorder.Node
+	sentSelf    *encoder.Node
 	summaryAt   time.Time
 	relayed     map[string]time.Time
 }
@@ -104,7 +105,7 @@
 	l.lastAck, l.ackedAt, l.revision, l.configBeat = nil, time.Now(), 0, 0
 	l.sequence = 0
 	l.sent, l.sentLeaving = map[string]recorder.Sighting{}, map[string]recorder.LeavingMark{}
-	l.sentDemand, l.sentNodes = nil, map[string]recorder.Node{}
+	l.sentDemand, l.sentNodes, l.sentSelf = nil, map[string]recorder.Node{}, nil
 	l.summaryAt, l.relayed = time.Time{}, map[string]time.Time{}
 }
 
@@ -131,7 +132,9 @@
 }
 
 func (l *link) takeAck(a *encoder.Ack) {
-	l.exchanger.learnAddress(l.address, fromNode(a.Node))
+	if a.Node != nil {
+		l.exchanger.learnAddress(l.address, fromNode(a.Node))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	isFirst := l.lastAck == nil
@@ -157,8 +160,12 @@
 	l.sequence++
 	b := &encoder.Beat{Sequence: l.sequence}
 	self, _ := x.Board.Nodes.Get(x.Self)
-	b.Sender = toNode(self)
-	b.Sender.Revision = x.Board.Revision()
+	b.Revision = x.Board.Revision()
+	sender := toNode(self)
+	sender.Revision = 0
+	if !proto.Equal(sender, l.sentSelf) {
+		l.sentSelf, b.Sender = sender, sender
+	}
 	if l.lastAck != nil {
 		b.Echo = l.lastAck.Sequence
 		l.addConfig(b)
@@ -177,7 +184,7 @@
 }
 
 func (l *link) addConfig(b *encoder.Beat) {
-	if b.Sender.Revision <= l.revision {
+	if b.Revision <= l.revision {
 		return
 	}
 	u := l.exchanger.Board.ConfigSince(l.revision)
--- a/internal/peer/exchanger/server.go
+++ b/internal/peer/exchanger/server.go
@@ -52,8 +52,11 @@
 		if err != nil {
 			return err
 		}
-		if b.Sender == nil || b.Sender.Name == "" {
-			return connect.NewError(connect.CodeInvalidArgument, trace.BadParameter("beat without sender"))
+		if b.Sender.GetName() != "" {
+			r.sender = fromNode(b.Sender)
+		}
+		if r.sender.Name == "" {
+			return connect.NewError(connect.CodeInvalidArgument, trace.BadParameter("first beat without sender"))
 		}
 		if !r.take(b) {
 			return nil
@@ -101,6 +104,7 @@
 // receiver takes the beats of one stream.
 type receiver struct {
 	exchanger *Exchanger
+	sender    recorder.Node
 	id        uint64
 	sequence  uint64
 	ackedAt   map[uint64]time.Time
@@ -111,21 +115,21 @@
 func (r *receiver) take(b *encoder.Beat) bool {
 	x := r.exchanger
 	if r.id == 0 {
-		r.id = x.openStream(b.Sender.Name)
-		x.dropMissing(b)
-	} else if !x.isCurrent(b.Sender.Name, r.id) {
+		r.id = x.openStream(r.sender.Name)
+		x.dropMissing(r.sender.Name, b)
+	} else if !x.isCurrent(r.sender.Name, r.id) {
 		return false
 	}
 	beatsTaken.Inc()
-	x.learnSender(b)
+	x.learnSender(r.sender, b)
 	if b.Config != nil {
 		if err := x.Board.ApplyConfig(fromConfig(b.Config)); err != nil {
 			configBehind.Inc()
 		}
 	}
-	isLocal := b.Sender.DataCenter == x.DataCenter
+	isLocal := r.sender.DataCenter == x.DataCenter
 	if isLocal {
-		x.takeSightings(b)
+		x.takeSightings(r.sender.Name, b)
 		r.date(b)
 	}
 	for _, m := range b.Leaving {
@@ -148,7 +152,7 @@
 		return
 	}
 	confirmed := at.Add(-time.Duration(b.FactsAgeMs) * time.Millisecond)
-	r.exchanger.Board.Watchers.Update(b.Sender.Name, func(old time.Time, _ bool) (time.Time, bool) {
+	r.exchanger.Board.Watchers.Update(r.sender.Name, func(old time.Time, _ bool) (time.Time, bool) {
 		if old.After(confirmed) {
 			return old, true
 		}
@@ -160,10 +164,12 @@
 	r.sequence++
 	r.ackedAt[r.sequence] = time.Now()
 	delete(r.ackedAt, r.sequence-keptAcks)
-	self, _ := r.exchanger.Board.Nodes.Get(r.exchanger.Self)
-	return &encoder.Ack{
-		Sequence: r.sequence, Beat: b.Sequence, Revision: r.exchanger.Board.Revision(), Node: toNode(self),
+	a := &encoder.Ack{Sequence: r.sequence, Beat: b.Sequence, Revision: r.exchanger.Board.Revision()}
+	if r.sequence == 1 {
+		self, _ := r.exchanger.Board.Nodes.Get(r.exchanger.Self)
+		a.Node = toNode(self)
 	}
+	return a
 }
 
 // openStream makes a new stream the current one of a node.
--- a/internal/proof/tester/check_test.go
+++ b/internal/proof/tester/check_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	adminserver "marjorammoor/internal/admin/server"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/objects/parser"
 	"marjorammoor/internal/platform/client"
@@ -287,14 +288,18 @@
 }
 
 func (c *cluster) watchNode(p *process, seen map[string]map[parser.Key]int64) {
-	if p.frozen.Load() || !p.ready.Load() {
+	if p.frozen.Load() || c.readyAs(p) == "" {
 		return
 	}
 	for _, kind := range []parser.Kind{parser.KindTeam, parser.KindDeployment, parser.KindPool} {
+		before := c.readyAs(p)
 		l := client.ObjectList{}
 		if err := c.getJSON(p.admin, "/v1/objects/"+string(kind), "", &l); err != nil || l.Revision == 0 {
 			return
 		}
+		if before == "" || c.readyAs(p) != before {
+			return // The node was restarted in between, or is not ready.
+		}
 		if seen[p.name] == nil {
 			seen[p.name] = map[parser.Key]int64{}
 		}
@@ -318,3 +323,12 @@
 		seen[p.name][key] = l.Revision
 	}
 }
+
+// readyAs returns what a node that is ready calls its incarnation, or "".
+func (c *cluster) readyAs(p *process) string {
+	s := adminserver.Status{}
+	if err := c.getJSON(p.admin, "/v1/status", "", &s); err != nil || !s.Ready {
+		return ""
+	}
+	return s.Incarnation
+}
--- a/internal/runner/caller/caller.go
+++ b/internal/runner/caller/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"marjorammoor/internal/network/dialer"
+	"marjorammoor/internal/state/sharder"
 )
 
 // State is what a runner does with its VM.
@@ -105,15 +107,43 @@
 
 	once   sync.Once
 	client *http.Client
+	// known holds the identity that each address last told.
+	known sharder.Map[string, told]
 }
 
-// Identity asks the runner at address (host:port) who it is.
+// Identity asks the runner at address (host:port) who it is. A runner whose
+// identity is still the one that it last told this caller answers without a body.
 func (c *Caller) Identity(ctx context.Context, address string) (*Identity, error) {
-	id := &Identity{}
-	if err := c.call(ctx, http.MethodGet, address, "/v1/identity", nil, id); err != nil {
+	last, _ := c.known.Get(address)
+	next := told{}
+	err := c.call(ctx, request{method: http.MethodGet, address: address, path: "/v1/identity", tag: last.tag}, &next.identity, &next.tag)
+	switch {
+	case errors.Is(err, errUnchanged):
+		id := last.identity
+		return &id, nil
+	case err != nil:
 		return nil, fmt.Errorf("identity of %s: %w", address, err)
 	}
-	return id, nil
+	if next.tag != "" {
+		c.known.Set(address, next)
+	}
+	return &next.identity, nil
+}
+
+// told is an identity as a runner told it, with its entity tag.
+type told struct {
+	tag      string
+	identity Identity
+}
+
+// errUnchanged says that a runner's identity is that of the tag sent.
+var errUnchanged = trace.AlreadyExists("identity is unchanged")
+
+// request is one call to a runner.
+type request struct {
+	method, address, path string
+	tag                   string
+	body                  []byte
 }
 
 // Order gives an order to the runner at address. Errors: trace.CompareFailed
@@ -124,20 +154,28 @@
 		return nil, fmt.Errorf("encode order: %w", err)
 	}
 	id := &Identity{}
-	if err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, id); err != nil {
+	q := request{method: http.MethodPost, address: address, path: "/v1/orders", body: body}
+	if err := c.call(ctx, q, id, nil); err != nil {
 		return nil, fmt.Errorf("order %s to %s: %w", o.Type, address, err)
 	}
 	return id, nil
 }
 
-func (c *Caller) call(ctx context.Context, method, address, path string, body []byte, target any) error {
+// call sends a request and decodes the answer into target, and its entity tag
+// into tag if that is set.
+func (c *Caller) call(ctx context.Context, q request, target any, tag *string) error {
 	c.once.Do(c.start)
 	ctx, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+q.address+q.path, bytes.NewReader(q.body))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
+	// An empty value keeps the transport from sending its own.
+	r.Header.Set("User-Agent", "")
+	if q.tag != "" {
+		r.Header.Set("If-None-Match", q.tag)
+	}
 	a, err := c.client.Do(r)
 	if err != nil {
 		return trace.ConnectionProblem(err, "call runner")
@@ -149,6 +187,8 @@
 	}
 	switch a.StatusCode {
 	case http.StatusOK:
+	case http.StatusNotModified:
+		return errUnchanged
 	case http.StatusConflict:
 		return trace.CompareFailed("runner refuses: %s", b)
 	default:
@@ -157,6 +197,9 @@
 	if err := json.Unmarshal(b, target); err != nil {
 		return trace.BadParameter("runner's answer: %v", err)
 	}
+	if tag != nil {
+		*tag = a.Header.Get("Etag")
+	}
 	return nil
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
 
@@ -69,7 +70,7 @@
 func (e *Engine) Handler() http.Handler {
 	e.once.Do(e.start)
 	r := chi.NewRouter()
-	r.Get("/v1/identity", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Identity()) })
+	r.Get("/v1/identity", e.tellIdentity)
 	r.Post("/v1/orders", e.takeOrder)
 	r.Post("/v1/completions", e.complete)
 	r.Post("/v1/chat/completions", e.complete)
@@ -88,6 +89,23 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// tellIdentity answers with the identity, or without a body if the asker has it.
+func (e *Engine) tellIdentity(w http.ResponseWriter, r *http.Request) {
+	b, err := json.Marshal(e.Identity())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(b), 36))
+	w.Header().Set("Etag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
+}
+
 func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
 	o := caller.Order{}
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&o); err != nil {
