Form the new replica first even when the list shows the spares late

Change: a deployment that prefers a surge waits 10 s for spares, and drains the old replica only when the new one has been whole for 2 s.

--- a/internal/admission/allocator/allocator.go
+++ b/internal/admission/allocator/allocator.go
@@ -22,6 +22,7 @@
 	"marjorammoor/internal/routing/director"
 	"marjorammoor/internal/state/recorder"
 	"marjorammoor/internal/state/sharder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -47,29 +48,12 @@
 
 // Run measures demand and computes parts until ctx ends.
 func (a *Allocator) Run(ctx context.Context) {
-	t := time.NewTicker(measureInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			a.Measure()
-		}
-	}
+	repeater.Every(ctx, measureInterval, a.Measure)
 }
 
 // Gate returns the gate of a deployment.
 func (a *Allocator) Gate(deployment string) *scheduler.Gate {
-	if g, ok := a.gates.Get(deployment); ok {
-		return g
-	}
-	return a.gates.Update(deployment, func(old *scheduler.Gate, ok bool) (*scheduler.Gate, bool) {
-		if ok {
-			return old, true
-		}
-		return &scheduler.Gate{}, true
-	})
+	return a.gates.GetOrCreate(deployment, func() *scheduler.Gate { return &scheduler.Gate{} })
 }
 
 // Request returns a team's request for a place.
--- a/internal/admission/limiter/limiter.go
+++ b/internal/admission/limiter/limiter.go
@@ -145,15 +145,7 @@
 }
 
 func (l *Limiter) team(name string) *team {
-	if t, ok := l.teams.Get(name); ok {
-		return t
-	}
-	return l.teams.Update(name, func(old *team, ok bool) (*team, bool) {
-		if ok {
-			return old, true
-		}
-		return &team{share: 1}, true
-	})
+	return l.teams.GetOrCreate(name, func() *team { return &team{share: 1} })
 }
 
 func (l *Limiter) now() time.Time {
--- a/internal/admission/meter/meter.go
+++ b/internal/admission/meter/meter.go
@@ -36,16 +36,7 @@
 
 // Add counts one request and its expected tokens.
 func (m *Meter) Add(team, deployment string, tokens int) {
-	k := key{team, deployment}
-	r, ok := m.rates.Get(k)
-	if !ok {
-		r = m.rates.Update(k, func(old *rates, ok bool) (*rates, bool) {
-			if ok {
-				return old, true
-			}
-			return &rates{}, true
-		})
-	}
+	r := m.rates.GetOrCreate(key{team, deployment}, func() *rates { return &rates{} })
 	r.requests.Add(1)
 	r.tokens.Add(int64(tokens))
 }
--- a/internal/claims/executor/executor.go
+++ b/internal/claims/executor/executor.go
@@ -15,6 +15,7 @@
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/encoder"
 	"marjorammoor/internal/state/sharder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -84,12 +85,7 @@
 
 // enter makes mine the run of its key unless there is one.
 func (e *Executor) enter(mine *run) (*run, bool) {
-	r := e.runs.Update(mine.key, func(old *run, ok bool) (*run, bool) {
-		if ok {
-			return old, true
-		}
-		return mine, true
-	})
+	r := e.runs.GetOrCreate(mine.key, func() *run { return mine })
 	return r, r == mine
 }
 
@@ -217,16 +213,7 @@
 
 // Run forgets old answers until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			e.Sweep()
-		}
-	}
+	repeater.Every(ctx, sweepInterval, e.Sweep)
 }
 
 // Sweep forgets runs that ended longer ago than answers are kept, and drops the
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -19,6 +19,7 @@
 	"marjorammoor/internal/runner/caller"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -65,9 +66,12 @@
 	started   time.Time
 	aliveAt   map[string]time.Time
 	stateAt   map[string]stateSince
-	versionAt map[string]versionSince
-	orderedAt map[string]time.Time
-	told      map[string]planner.Decision
+	servingAt map[string]time.Time
+	// outdatedAt holds since when replicas are not what is asked for.
+	outdatedAt map[string]time.Time
+	versionAt  map[string]versionSince
+	orderedAt  map[string]time.Time
+	told       map[string]planner.Decision
 }
 
 type stateSince struct {
@@ -83,16 +87,7 @@
 // Run plans and drives until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.start()
-	t := time.NewTicker(planInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			c.Step(ctx)
-		}
-	}
+	repeater.Every(ctx, planInterval, func() { c.Step(ctx) })
 }
 
 func (c *Controller) start() {
@@ -105,6 +100,8 @@
 	c.started = time.Now()
 	c.aliveAt = map[string]time.Time{}
 	c.stateAt = map[string]stateSince{}
+	c.servingAt = map[string]time.Time{}
+	c.outdatedAt = map[string]time.Time{}
 	c.versionAt = map[string]versionSince{}
 	c.orderedAt = map[string]time.Time{}
 	c.told = map[string]planner.Decision{}
@@ -142,6 +139,8 @@
 		DataCenter:  c.DataCenter,
 		Assignments: map[string]parser.AssignmentSpec{},
 		Since:       map[string]time.Duration{},
+		ServingFor:  map[string]time.Duration{},
+		OutdatedFor: map[string]time.Duration{},
 		VMs:         c.observeVMs(),
 		Deployments: c.Board.Deployments(),
 		Timing:      c.Timing,
@@ -158,17 +157,36 @@
 				c.stateAt[r.ID] = stateSince{r.State, now}
 			}
 			in.Since[r.ID] = now.Sub(c.stateAt[r.ID].at)
+			isServing := c.Verifier.Replica(&r).After(now)
+			in.ServingFor[r.ID] = heldFor(c.servingAt, r.ID, isServing, now)
+			isOutdated := !planner.IsCurrent(&r, in.Deployments[r.Deployment])
+			in.OutdatedFor[r.ID] = heldFor(c.outdatedAt, r.ID, isOutdated, now)
 		}
 	}
 	c.forgetOld(in)
 	return in
 }
 
+// heldFor returns how long something has held for a replica, given when it began
+// to hold for each.
+func heldFor(since map[string]time.Time, id string, holds bool, now time.Time) time.Duration {
+	if !holds {
+		delete(since, id)
+		return 0
+	}
+	if _, ok := since[id]; !ok {
+		since[id] = now
+	}
+	return now.Sub(since[id])
+}
+
 // forgetOld drops the memory of replicas that no longer exist.
 func (c *Controller) forgetOld(in planner.Input) {
 	for id := range c.stateAt {
 		if _, ok := in.Since[id]; !ok {
 			delete(c.stateAt, id)
+			delete(c.servingAt, id)
+			delete(c.outdatedAt, id)
 			delete(c.told, id)
 		}
 	}
--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -205,8 +205,8 @@
 	return parser.MemberRef{VM: v.Name, Address: v.Address, BootID: v.Identity.BootID}
 }
 
-// isCurrent reports whether a replica is what its deployment asks for.
-func isCurrent(r *parser.ReplicaRef, spec *parser.DeploymentSpec) bool {
+// IsCurrent reports whether a replica is what its deployment asks for.
+func IsCurrent(r *parser.ReplicaRef, spec *parser.DeploymentSpec) bool {
 	return spec != nil && len(r.Members) == spec.Size() && r.Model == spec.Model && r.ModelVersion == spec.ModelVersion
 }
 
@@ -239,38 +239,41 @@
 			return "VM leaving"
 		}
 	}
-	if !isCurrent(r, spec) && p.mayReplaceOld(r.Deployment, spec) {
+	if !IsCurrent(r, spec) && p.mayReplaceOld(r.Deployment, spec) {
 		return "deployment changed"
 	}
 	return ""
 }
 
-// mayReplaceOld limits a change of a deployment to one replica at a time. A
+// mayReplaceOld limits a change of a deployment to one replica at a time: not
+// while another one drains, or has not been whole for long enough. A
 // deployment that weighs group downtime more first forms the new replica if
 // there are spares for it.
 func (p *plan) mayReplaceOld(name string, spec *parser.DeploymentSpec) bool {
-	old, current, draining := 0, 0, 0
+	old, current, unsettled := 0, 0, 0
+	waited := time.Duration(0)
 	for _, d := range p.domains {
 		for i := range d.spec.Replicas {
 			r := &d.spec.Replicas[i]
 			switch {
 			case r.Deployment != name:
 			case r.State != parser.ReplicaAssigned:
-				draining++
-			case !isCurrent(r, spec):
+				unsettled++
+			case !IsCurrent(r, spec):
 				old++
-			case p.isServing(r):
+				waited = max(waited, p.OutdatedFor[r.ID])
+			case p.isServing(r) && p.ServingFor[r.ID] >= DefaultSettle:
 				current++
 			default:
-				draining++
+				unsettled++
 			}
 		}
 	}
-	if draining > 0 {
+	if unsettled > 0 {
 		return false
 	}
 	prefersSurge := spec.Weights.GroupDowntime > spec.Weights.StrandedAccelerators*float64(spec.Size())
-	if prefersSurge && p.bestDomain(spec) != nil {
+	if prefersSurge && (p.bestDomain(spec) != nil || waited < DefaultSurgePatience) {
 		return old+current > spec.Replicas[p.DataCenter]
 	}
 	return true
@@ -323,14 +326,14 @@
 	}
 	slices.SortFunc(list, func(a, b located) int {
 		return cmp.Or(
-			compareBool(isCurrent(a.replica, spec), isCurrent(b.replica, spec)),
+			compareBool(IsCurrent(a.replica, spec), IsCurrent(b.replica, spec)),
 			compareBool(p.isServing(a.replica), p.isServing(b.replica)),
 			cmp.Compare(b.replica.Epoch, a.replica.Epoch),
 			strings.Compare(a.replica.ID, b.replica.ID),
 		)
 	})
 	for _, l := range list[:surplus] {
-		if !isCurrent(l.replica, spec) && !p.mayReplaceOld(name, spec) {
+		if !IsCurrent(l.replica, spec) && !p.mayReplaceOld(name, spec) {
 			return
 		}
 		p.drain(l.domain, l.replica, "not wanted")
@@ -376,7 +379,7 @@
 	if lacking > 0 {
 		return lacking
 	}
-	old := slices.ContainsFunc(list, func(l located) bool { return !isCurrent(l.replica, spec) })
+	old := slices.ContainsFunc(list, func(l located) bool { return !IsCurrent(l.replica, spec) })
 	prefersSurge := spec.Weights.GroupDowntime > spec.Weights.StrandedAccelerators*float64(spec.Size())
 	if lacking == 0 && old && prefersSurge && spec.Replicas[p.DataCenter] > 0 {
 		return 1
--- a/internal/fleet/planner/repair.go
+++ b/internal/fleet/planner/repair.go
@@ -74,7 +74,7 @@
 
 func (p *plan) repairOne(d *domain, r *parser.ReplicaRef, missing []int) {
 	spec := p.Deployments[r.Deployment]
-	if !isCurrent(r, spec) {
+	if !IsCurrent(r, spec) {
 		p.release(d, r, "broken and not wanted")
 		return
 	}
--- a/internal/fleet/planner/types.go
+++ b/internal/fleet/planner/types.go
@@ -13,6 +13,12 @@
 	DefaultMissingGrace = 2 * time.Second
 	// DefaultMinDrain is how long routers may still send to a draining replica.
 	DefaultMinDrain = 3 * time.Second
+	// DefaultSettle is how long a new replica must have been whole before an old
+	// one is drained for it: until then some nodes may not have its proof.
+	DefaultSettle = 2 * time.Second
+	// DefaultSurgePatience is how long a deployment that would rather form a new
+	// replica first waits for spares, which the platform's list may show late.
+	DefaultSurgePatience = 10 * time.Second
 	// DefaultForgetAfter is how long a VM must be silent and off the platform's
 	// list until it no longer belongs to its replica.
 	DefaultForgetAfter = 60 * time.Second
@@ -79,7 +85,12 @@
 	DataCenter  string
 	Assignments map[string]parser.AssignmentSpec
 	// Since says how long each replica, by ID, has had its state.
-	Since       map[string]time.Duration
+	Since map[string]time.Duration
+	// OutdatedFor says how long each replica, by ID, has not been what its
+	// deployment asks for.
+	OutdatedFor map[string]time.Duration
+	// ServingFor says how long each replica, by ID, has been proved whole.
+	ServingFor  map[string]time.Duration
 	VMs         map[string]*VM
 	Deployments map[string]*parser.DeploymentSpec
 	Timing      Timing
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"marjorammoor/internal/routing/picker"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/state/sharder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const fullPause = 5 * time.Millisecond
@@ -87,7 +88,7 @@
 		if t.replica != nil {
 			q.MarkTried(t.replica)
 		}
-		if !pause(ctx, retrier.Backoff(c.Attempts)) {
+		if !repeater.Pause(ctx, retrier.Backoff(c.Attempts)) {
 			return a.finish(failure)
 		}
 	}
@@ -111,15 +112,7 @@
 }
 
 func (f *Forwarder) budget(deployment string) *retrier.Budget {
-	if b, ok := f.budgets.Get(deployment); ok {
-		return b
-	}
-	return f.budgets.Update(deployment, func(old *retrier.Budget, ok bool) (*retrier.Budget, bool) {
-		if ok {
-			return old, true
-		}
-		return &retrier.Budget{}, true
-	})
+	return f.budgets.GetOrCreate(deployment, func() *retrier.Budget { return &retrier.Budget{} })
 }
 
 // shouldRetry allows another attempt if the last was provably not run, or if
@@ -162,7 +155,7 @@
 			return target{address: r.Address, epoch: r.Epoch, replica: r}, nil
 		case errors.Is(err, picker.ErrNoReplica):
 			return f.elsewhere(c, http.StatusServiceUnavailable, responder.ReasonNoReplica, "no whole replica in this data centre")
-		case !pause(ctx, fullPause):
+		case !repeater.Pause(ctx, fullPause):
 			return target{}, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonReplicasFull, "every whole replica is full")
 		}
 	}
@@ -227,14 +220,3 @@
 
 // statusCallerGone is logged for callers that closed their connection.
 const statusCallerGone = 499
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -15,6 +15,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/runner/caller"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -71,7 +72,7 @@
 func (s *relay) run(ctx context.Context, body io.Reader) *responder.Failure {
 	err := s.copy(body)
 	for n := 0; err != nil && s.canResume(ctx, err) && n < maxResumes; n++ {
-		if !pause(ctx, resumePause) {
+		if !repeater.Pause(ctx, resumePause) {
 			break
 		}
 		resumed.Inc()
--- a/internal/health/prober/prober.go
+++ b/internal/health/prober/prober.go
@@ -26,6 +26,7 @@
 	"marjorammoor/internal/runner/caller"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 // Defaults of the prober.
@@ -73,16 +74,7 @@
 // Run watches until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	p.setDefaults()
-	t := time.NewTicker(replanInterval)
-	defer t.Stop()
-	for {
-		p.Replan(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	repeater.Now(ctx, replanInterval, func() { p.Replan(ctx) })
 }
 
 func (p *Prober) setDefaults() {
@@ -157,16 +149,7 @@
 
 func (p *Prober) watch(ctx context.Context, vm, address string) {
 	defer p.Board.DropSighting(vm, p.Self)
-	t := time.NewTicker(p.Interval)
-	defer t.Stop()
-	for {
-		p.Probe(ctx, vm, address)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	repeater.Now(ctx, p.Interval, func() { p.Probe(ctx, vm, address) })
 }
 
 // Probe asks one VM for its identity and records the outcome.
--- a/internal/node/assembler/controllers.go
+++ b/internal/node/assembler/controllers.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 // startControllers starts everything that reads and writes the board.
@@ -55,14 +55,5 @@
 }
 
 func (n *Node) keepAnnouncing(ctx context.Context) {
-	t := time.NewTicker(presenceBeat)
-	defer t.Stop()
-	for {
-		n.announce()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	repeater.Now(ctx, presenceBeat, n.announce)
 }
--- a/internal/node/assembler/doc.go
+++ b/internal/node/assembler/doc.go
@@ -3,7 +3,7 @@
 //
 // A stop is graceful: the node reports that it is not ready, goes on accepting
 // while the balancer moves on, lets requests in progress finish and then leaves.
-// The drain timeout or a second signal ends it at once, which is counted.
+// The drain timeout, which is counted, or a second signal ends it at once.
 //
 // # Usage
 //
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"marjorammoor/internal/platform/client"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 // Defaults of the exchange.
@@ -94,17 +95,10 @@
 // Run keeps streams until ctx ends.
 func (x *Exchanger) Run(ctx context.Context) {
 	x.setDefaults()
-	t := time.NewTicker(linkInterval)
-	defer t.Stop()
-	for {
+	repeater.Now(ctx, linkInterval, func() {
 		x.relink(ctx)
 		x.forget()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 func (x *Exchanger) setDefaults() {
--- a/internal/platform/syncer/syncer.go
+++ b/internal/platform/syncer/syncer.go
@@ -26,6 +26,7 @@
 	"marjorammoor/internal/platform/client"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/recorder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -70,13 +71,13 @@
 	for ctx.Err() == nil {
 		if !s.isWatcher() {
 			s.setWatching(false)
-			sleep(ctx, idlePause)
+			repeater.Pause(ctx, idlePause)
 			continue
 		}
 		if err := s.follow(ctx); err != nil {
 			watchFailures.Inc()
 			s.lost(err)
-			sleep(ctx, rand.N(retry))
+			repeater.Pause(ctx, rand.N(retry))
 			retry = min(2*retry, maxRetry)
 			continue
 		}
@@ -144,7 +145,7 @@
 	}
 	if l.Revision == 0 {
 		s.setWatching(true)
-		sleep(ctx, idlePause)
+		repeater.Pause(ctx, idlePause)
 		return nil
 	}
 	s.setWatching(true)
@@ -165,15 +166,6 @@
 		if s.Watching() || s.Board.VMRevision() < 0 {
 			pause = watcherList
 		}
-		sleep(ctx, pause/2+rand.N(pause))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		repeater.Pause(ctx, pause/2+rand.N(pause))
 	}
 }
--- a/internal/proof/tester/cluster_test.go
+++ b/internal/proof/tester/cluster_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -103,8 +104,21 @@
 
 var clusters atomic.Int32
 
+// freeBase returns the second number of loopback addresses that no other cluster
+// uses, not even one that a killed test has left behind.
+func freeBase() int {
+	for {
+		base := 20 + (os.Getpid()*7+int(clusters.Add(1)))%200
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:7000", base))
+		if err == nil {
+			_ = l.Close()
+			return base
+		}
+	}
+}
+
 func newCluster(l layout, dir, path string, log func(string, ...any)) *cluster {
-	c := &cluster{layout: l, dir: dir, path: path, base: 20 + (os.Getpid()*7+int(clusters.Add(1)))%200, procs: map[string]*process{}, log: log}
+	c := &cluster{layout: l, dir: dir, path: path, base: freeBase(), procs: map[string]*process{}, log: log}
 	c.api = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	return c
 }
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -18,6 +18,7 @@
 	"marjorammoor/internal/routing/picker"
 	"marjorammoor/internal/state/recorder"
 	"marjorammoor/internal/state/sharder"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const refreshInterval = 100 * time.Millisecond
@@ -37,16 +38,7 @@
 
 // Run refreshes the proofs until ctx ends.
 func (d *Director) Run(ctx context.Context) {
-	t := time.NewTicker(refreshInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.Refresh()
-		}
-	}
+	repeater.Every(ctx, refreshInterval, d.Refresh)
 }
 
 // Picker returns a deployment's picker.
@@ -87,12 +79,7 @@
 
 // replica returns the picker's replica for an assigned one, with its proof.
 func (d *Director) replica(r *parser.ReplicaRef, spec *parser.DeploymentSpec) *picker.Replica {
-	p := d.pickers.Update(r.Deployment, func(old *picker.Picker, ok bool) (*picker.Picker, bool) {
-		if !ok {
-			old = &picker.Picker{}
-		}
-		return old, true
-	})
+	p := d.pickers.GetOrCreate(r.Deployment, func() *picker.Picker { return &picker.Picker{} })
 	head := r.Members[0].Address
 	limit := int64(spec.InFlightLimit())
 	c := p.Find(r.ID, r.Epoch, head)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"marjorammoor/internal/runner/caller"
+	"marjorammoor/internal/timing/repeater"
 )
 
 // Defaults of the stand-in's timing.
@@ -113,17 +114,10 @@
 // Run checks the members and refreshes the load report until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	e.once.Do(e.start)
-	checks := time.NewTicker(memberCheckInterval)
-	defer checks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-checks.C:
-			e.checkMembers(ctx)
-			e.refreshReport()
-		}
-	}
+	repeater.Every(ctx, memberCheckInterval, func() {
+		e.checkMembers(ctx)
+		e.refreshReport()
+	})
 }
 
 func (e *Engine) refreshReport() {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"marjorammoor/internal/timing/repeater"
 )
 
 // stream is one answer while it is generated and for a while after.
@@ -96,12 +98,12 @@
 		<-e.slots
 		e.count(0, -1)
 	}()
-	if !sleep(ctx, e.prefill(s.prompt)) {
+	if !repeater.Pause(ctx, e.prefill(s.prompt)) {
 		s.update(func() { s.done, s.failed = true, true })
 		return
 	}
 	for range s.tokens {
-		if !sleep(ctx, e.currentTokenTime()) || s.abandoned() {
+		if !repeater.Pause(ctx, e.currentTokenTime()) || s.abandoned() {
 			s.update(func() { s.done, s.failed = true, true })
 			return
 		}
@@ -110,20 +112,6 @@
 	s.update(func() { s.done = true })
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (e *Engine) count(queued, inFlight int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/state/sharder/sharder.go
+++ b/internal/state/sharder/sharder.go
@@ -41,6 +41,19 @@
 	return v, ok
 }
 
+// GetOrCreate returns the value under k, after storing a new one if there is none.
+func (m *Map[K, V]) GetOrCreate(k K, create func() V) V {
+	if v, ok := m.Get(k); ok {
+		return v
+	}
+	return m.Update(k, func(old V, ok bool) (V, bool) {
+		if !ok {
+			old = create()
+		}
+		return old, true
+	})
+}
+
 // Set stores v under k.
 func (m *Map[K, V]) Set(k K, v V) {
 	m.Update(k, func(V, bool) (V, bool) { return v, true })
