Keep one copy of the surge rule and of the progress loop

Cause: reading the whole change: the rule that a deployment prefers a surge stood twice in the planner, and the load tool had a loop of its own that timing/repeater has. Change: prefersSurge, and repeater.Every in the load tool; no behaviour changes. Looked at and left: alike shapes of plain structs, metric lists and generated code.

--- a/internal/fleet/planner/planner.go
+++ b/internal/fleet/planner/planner.go
@@ -272,13 +272,18 @@
 	if unsettled > 0 {
 		return false
 	}
-	prefersSurge := spec.Weights.GroupDowntime > spec.Weights.StrandedAccelerators*float64(spec.Size())
-	if prefersSurge && (p.bestDomain(spec) != nil || waited < DefaultSurgePatience) {
+	if prefersSurge(spec) && (p.bestDomain(spec) != nil || waited < DefaultSurgePatience) {
 		return old+current > spec.Replicas[p.DataCenter]
 	}
 	return true
 }
 
+// prefersSurge reports whether one replica's downtime costs more than a whole
+// stranded replica, so that the new one is formed before the old one is drained.
+func prefersSurge(spec *parser.DeploymentSpec) bool {
+	return spec.Weights.GroupDowntime > spec.Weights.StrandedAccelerators*float64(spec.Size())
+}
+
 // isServing reports whether all members are ready under the replica's epoch.
 func (p *plan) isServing(r *parser.ReplicaRef) bool {
 	for _, m := range r.Members {
@@ -380,8 +385,7 @@
 		return lacking
 	}
 	old := slices.ContainsFunc(list, func(l located) bool { return !IsCurrent(l.replica, spec) })
-	prefersSurge := spec.Weights.GroupDowntime > spec.Weights.StrandedAccelerators*float64(spec.Size())
-	if lacking == 0 && old && prefersSurge && spec.Replicas[p.DataCenter] > 0 {
+	if lacking == 0 && old && prefersSurge(spec) && spec.Replicas[p.DataCenter] > 0 {
 		return 1
 	}
 	return 0
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"marjorammoor/internal/network/dialer"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -60,16 +61,9 @@
 	if g.Progress == nil {
 		return
 	}
-	t := time.NewTicker(progressInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			_, _ = fmt.Fprintf(g.Progress, "%3.0f of %.0f s, %d answers\n", time.Since(g.started).Seconds(), g.Plan.Seconds, g.stats.answers())
-		}
-	}
+	repeater.Every(ctx, progressInterval, func() {
+		_, _ = fmt.Fprintf(g.Progress, "%3.0f of %.0f s, %d answers\n", time.Since(g.started).Seconds(), g.Plan.Seconds, g.stats.answers())
+	})
 }
 
 // offer sends one team's requests with exponential gaps.
