--- a/internal/cli/commander/serve.go
+++ b/internal/cli/commander/serve.go
@@ -20,11 +20,20 @@
 
 type serveCommand struct {
 	*output
-	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"the node's settings, JSON with comments"`
+	Settings   string `short:"s" long:"settings" value-name:"FILE" description:"the node's settings, JSON with comments"`
+	OnPlatform bool   `long:"platform" description:"run on the users' platform, with the settings file that it names in MARJORAMMOOR_SETTINGS"`
 }
 
 // Execute runs a node until it has stopped.
 func (c *serveCommand) Execute([]string) error {
+	switch {
+	case c.OnPlatform && c.Settings != "":
+		return trace.BadParameter("serve: --settings and --platform exclude each other")
+	case c.OnPlatform:
+		return serveOnPlatform(c.out)
+	case c.Settings == "":
+		return trace.BadParameter("serve: --settings or --platform is required")
+	}
 	s, err := loader.File(c.Settings)
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
--- /dev/null
+++ b/internal/fleet/former/controller.go
@@ -0,0 +1,365 @@
+package former
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/store/follower"
+)
+
+// Kind is the kind of the assignment objects in the store.
+const Kind = "marjorammoor-assignments"
+
+const (
+	orderTimeout = 600 * time.Millisecond
+	storeTimeout = 1500 * time.Millisecond
+	// loadWindow is over which the store's bound on loads is kept, with a margin
+	// for the time that an order takes.
+	loadWindow = 5500 * time.Millisecond
+)
+
+// Controller works on the domains that this node owns. Set all fields before use.
+type Controller struct {
+	View     func() *tracker.View
+	Services func() map[string]*matcher.Service
+	Store    *follower.Store
+	Send     Send
+	// Probe reports whether a runner answers.
+	Probe func(ctx context.Context, m Member) bool
+	// Owns says whether this node works on a domain.
+	Owns func(domain string) bool
+	// Suspects returns the IDs of heads that some node has seen stand still.
+	Suspects func() map[string]bool
+	// IsEarly says that no request has come yet, when loads are not bounded.
+	IsEarly func() bool
+	// LoadsPerWindow is the number of loads that may begin in all domains
+	// within the store's window.
+	LoadsPerWindow func() float64
+	StallTime      time.Duration
+	Log            *slog.Logger
+
+	mu      sync.Mutex
+	workers map[string]*worker
+}
+
+// worker is what is known about one domain.
+type worker struct {
+	busy     atomic.Bool
+	loaded   bool
+	revision int64
+	current  Assignment
+	since    map[string]time.Time
+	gone     map[string]time.Time
+	left     map[string]bool
+	sent     map[orderKey]time.Time
+	misses   map[string]int
+	dead     map[string]bool
+	probed   time.Time
+	loads    []time.Time
+	ownedAt  time.Time
+}
+
+type orderKey struct {
+	operation Operation
+	runner    string
+	epoch     int64
+	model     string
+}
+
+// domain is the runners of one fabric domain of a service.
+type domain struct {
+	service *matcher.Service
+	name    string
+	runners []*tracker.Runner
+}
+
+// Step works once on each domain that this node owns. Slow calls go on in the
+// background; a domain that is still being worked on is passed over.
+func (c *Controller) Step(ctx context.Context) {
+	domains := c.domains()
+	for _, d := range domains {
+		w := c.worker(d)
+		if !c.Owns(d.name) {
+			if !w.busy.Load() {
+				w.loaded, w.ownedAt = false, time.Time{}
+			}
+			continue
+		}
+		if w.busy.CompareAndSwap(false, true) {
+			go func() {
+				defer w.busy.Store(false)
+				c.work(ctx, w, d, len(domains))
+			}()
+		}
+	}
+}
+
+func (c *Controller) domains() []*domain {
+	found := map[string]*domain{}
+	list := []*domain{}
+	for _, s := range c.Services() {
+		if s.Engine == nil || len(s.Engine.Models) == 0 {
+			continue
+		}
+		for _, r := range c.View().ServiceRunners(s.Name) {
+			key := s.Name + "/" + r.Domain
+			d, ok := found[key]
+			if !ok {
+				d = &domain{service: s, name: r.Domain}
+				found[key] = d
+				list = append(list, d)
+			}
+			d.runners = append(d.runners, r)
+		}
+	}
+	return list
+}
+
+func (c *Controller) worker(d *domain) *worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := d.service.Name + "/" + d.name
+	if c.workers == nil {
+		c.workers = map[string]*worker{}
+	}
+	w, ok := c.workers[key]
+	if !ok {
+		w = &worker{
+			since: map[string]time.Time{}, gone: map[string]time.Time{}, left: map[string]bool{},
+			sent: map[orderKey]time.Time{}, misses: map[string]int{}, dead: map[string]bool{},
+		}
+		c.workers[key] = w
+	}
+	return w
+}
+
+// work makes one decision and carries it out.
+func (c *Controller) work(ctx context.Context, w *worker, d *domain, domains int) {
+	if w.ownedAt.IsZero() {
+		w.ownedAt = time.Now()
+	}
+	if !w.loaded {
+		if err := c.load(ctx, w, d); err != nil {
+			c.Log.Warn("cannot read the assignment", "domain", d.name, "error", err)
+			return
+		}
+	}
+	c.probe(ctx, w)
+	in := c.input(w, d, domains)
+	out := Decide(in)
+	if out.Changed {
+		if err := c.store(ctx, w, d, out.Assignment); err != nil {
+			c.Log.Warn("cannot store the assignment", "domain", d.name, "revision", w.revision, "error", err)
+			w.loaded = false
+			return
+		}
+		w.keepTimes(out.Assignment)
+	}
+	for _, note := range out.Notes {
+		c.Log.Info("domain changes", "domain", d.name, "epoch", out.Assignment.Epoch, "runners", len(d.runners), "note", note)
+	}
+	w.current = out.Assignment
+	c.send(ctx, w, d, out.Orders)
+}
+
+func objectName(d *domain) string { return d.service.Name + "--" + d.name }
+
+func (c *Controller) load(ctx context.Context, w *worker, d *domain) error {
+	call, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	o, err := c.Store.Get(call, Kind, objectName(d))
+	fresh := Assignment{Service: d.service.Name, Domain: d.name}
+	switch {
+	case errors.Is(err, follower.ErrNotFound):
+		w.revision = 0
+	case err != nil:
+		return fmt.Errorf("get %s: %w", objectName(d), err)
+	default:
+		if err := json.Unmarshal(o.Spec, &fresh); err != nil {
+			return fmt.Errorf("decode %s: %w", objectName(d), err)
+		}
+		w.revision = o.Revision
+	}
+	w.current, w.loaded = fresh, true
+	w.keepTimes(fresh)
+	return nil
+}
+
+// store writes the assignment on the condition that nobody else has.
+func (c *Controller) store(ctx context.Context, w *worker, d *domain, a Assignment) error {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", objectName(d), err)
+	}
+	call, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	o := follower.Object{Kind: Kind, Name: objectName(d), Revision: w.revision, Spec: b}
+	write := c.Store.Replace
+	if w.revision == 0 {
+		write = c.Store.Create
+	}
+	revision, err := write(call, o)
+	if err != nil {
+		return fmt.Errorf("write %s: %w", o.Name, err)
+	}
+	w.revision = revision
+	return nil
+}
+
+// keepTimes drops what is known of replicas that are gone and dates new ones.
+func (w *worker) keepTimes(a Assignment) {
+	now := time.Now()
+	since := map[string]time.Time{}
+	for _, r := range a.Replicas {
+		key := r.Name
+		since[key] = now
+		if old, ok := w.since[key]; ok && (r.State == Forming || old.Before(now)) {
+			since[key] = old
+		}
+	}
+	w.since = since
+	for name := range w.gone {
+		if _, ok := since[name]; !ok {
+			delete(w.gone, name)
+			delete(w.left, name)
+		}
+	}
+	for k, at := range w.sent {
+		if now.Sub(at) > time.Minute {
+			delete(w.sent, k)
+		}
+	}
+}
+
+func (c *Controller) input(w *worker, d *domain, domains int) *Input {
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, r := range d.runners {
+		listed[r.ID] = true
+	}
+	for id := range w.dead {
+		if !listed[id] {
+			delete(w.dead, id)
+		}
+	}
+	for _, r := range w.current.Replicas {
+		head := r.Members[0].ID
+		_, known := w.gone[r.Name]
+		switch {
+		case listed[head] && !w.dead[head]:
+			delete(w.gone, r.Name)
+		case !known:
+			w.gone[r.Name] = now
+		}
+	}
+	return &Input{
+		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
+		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime,
+		Loads: c.loadsLeft(w, now, domains), OneByOne: c.IsEarly(),
+	}
+}
+
+// loadsLeft returns this domain's part of the loads that may begin now.
+func (c *Controller) loadsLeft(w *worker, now time.Time, domains int) int {
+	if c.IsEarly() {
+		return 1 << 20
+	}
+	if now.Sub(w.ownedAt) < loadWindow {
+		return 0
+	}
+	kept := w.loads[:0]
+	for _, at := range w.loads {
+		if now.Sub(at) < loadWindow {
+			kept = append(kept, at)
+		}
+	}
+	w.loads = kept
+	return int(c.LoadsPerWindow()/float64(max(domains, 1))) - len(kept)
+}
+
+// resendAfter is how long an order is not sent again, since the runner's entry
+// has to show its effect first.
+func resendAfter(o Order, e *matcher.Engine) time.Duration {
+	if o.Operation != Stage {
+		return 1200 * time.Millisecond
+	}
+	longest := time.Duration(0)
+	for _, m := range e.Models {
+		longest = max(longest, m.LoadTime)
+	}
+	return longest + formSlack
+}
+
+// send sends the orders that were not just sent, all at once.
+func (c *Controller) send(ctx context.Context, w *worker, d *domain, orders []Order) {
+	now := time.Now()
+	results := make([]Result, len(orders))
+	wg := sync.WaitGroup{}
+	for i, o := range orders {
+		k := orderKey{o.Operation, o.Runner.ID, o.Epoch, o.Model}
+		if at, ok := w.sent[k]; ok && now.Sub(at) < resendAfter(o, d.service.Engine) {
+			results[i] = Begun
+			continue
+		}
+		w.sent[k] = now
+		if c.loads(d, o) {
+			w.loads = append(w.loads, now)
+		}
+		wg.Go(func() {
+			call, stop := context.WithTimeout(ctx, orderTimeout)
+			defer stop()
+			results[i] = c.Send(call, o)
+			metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_orders_total{operation=%q}`, string(o.Operation))).Inc()
+			c.Log.Info("order sent", "domain", d.name, "operation", o.Operation, "runner", o.Runner.ID, "replica", o.Replica,
+				"epoch", o.Epoch, "fence", o.Fence, "model", o.Model, "result", results[i].String())
+		})
+	}
+	wg.Wait()
+	for i, o := range orders {
+		c.learn(w, o, results[i])
+	}
+}
+
+// loads reports whether an order makes its runner load weights.
+func (c *Controller) loads(d *domain, o Order) bool {
+	if o.Operation == Stage {
+		return true
+	}
+	if o.Operation != Join {
+		return false
+	}
+	m, ok := d.service.Model(o.Model)
+	if !ok {
+		return false
+	}
+	for _, x := range d.runners {
+		if x.ID == o.Runner.ID {
+			return cost(x, m) > 0
+		}
+	}
+	return false
+}
+
+func (c *Controller) learn(w *worker, o Order, result Result) {
+	switch {
+	case result == Fenced:
+		w.loaded = false
+	case o.Operation == Leave && result == Done, o.Operation == Leave && result == Elsewhere:
+		w.left[o.Replica] = true
+	}
+}
+
+// String names the result.
+func (r Result) String() string {
+	return [...]string{"no_answer", "begun", "done", "unfit", "fenced", "elsewhere", "rejected"}[r]
+}
--- /dev/null
+++ b/internal/fleet/former/decide.go
@@ -0,0 +1,370 @@
+package former
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+const (
+	// formSlack is added to the longest expected time of forming a replica.
+	formSlack = 6 * time.Second
+	// spareShare is the part of a domain's runners that is kept as spares.
+	spareShare = 0.2
+)
+
+// decider holds the working state of one decision.
+type decider struct {
+	in      *Input
+	out     Decision
+	runners map[string]*tracker.Runner
+	loads   int
+}
+
+// Decide returns the next steps of a domain.
+func Decide(in *Input) Decision {
+	d := &decider{in: in, runners: map[string]*tracker.Runner{}, loads: in.Loads}
+	for _, r := range in.Runners {
+		d.runners[r.ID] = r
+	}
+	d.out.Assignment = in.Assignment
+	d.out.Assignment.Replicas = nil
+	for _, r := range in.Assignment.Replicas {
+		if d.advance(&r) {
+			d.out.Assignment.Replicas = append(d.out.Assignment.Replicas, r)
+		} else {
+			d.out.Changed = true
+		}
+	}
+	free := d.free()
+	free = d.form(free)
+	d.stage(free)
+	d.out.Loads = in.Loads - d.loads
+	return d.out
+}
+
+func (d *decider) note(format string, args ...any) {
+	d.out.Notes = append(d.out.Notes, fmt.Sprintf(format, args...))
+}
+
+func (d *decider) order(o Order) {
+	o.Fence = d.out.Assignment.Epoch
+	d.out.Orders = append(d.out.Orders, o)
+}
+
+// advance takes a replica a step further and reports whether it still exists.
+func (d *decider) advance(r *Replica) bool {
+	if r.State != Closing {
+		if reason, graceful := d.loss(r); reason != "" {
+			d.note("replica %s of %s closes: %s", r.Name, r.Model, reason)
+			r.State, r.Graceful = Closing, graceful
+			d.out.Changed = true
+		}
+	}
+	switch r.State {
+	case Forming:
+		d.advanceForming(r)
+	case Closing:
+		return !d.advanceClosing(r)
+	}
+	return true
+}
+
+// loss returns why a replica cannot go on, and whether its requests can finish.
+func (d *decider) loss(r *Replica) (reason string, graceful bool) {
+	for _, m := range r.Members {
+		x, ok := d.runners[m.ID]
+		switch {
+		case !ok:
+			return "member " + m.ID + " is gone", false
+		case x.BootTime != m.BootTime:
+			return "member " + m.ID + " has started anew", false
+		case d.in.Dead[m.ID]:
+			return "member " + m.ID + " does not answer", false
+		case r.State == Open && !isMember(x, r):
+			return "member " + m.ID + " is in another replica", false
+		case r.State == Open && x.Membership.State == tracker.MemberBroken:
+			return "broken", false
+		}
+	}
+	for _, m := range r.Members {
+		if d.runners[m.ID].State == tracker.Draining {
+			return "member " + m.ID + " is leaving", true
+		}
+	}
+	if since, ok := d.in.Since[r.Name]; ok && r.State == Forming && d.in.Now.Sub(since) > d.formTimeout(r.Model) {
+		return "not formed in time", false
+	}
+	return "", false
+}
+
+func (d *decider) formTimeout(model string) time.Duration {
+	for _, m := range d.in.Engine.Models {
+		if m.Name == model {
+			return 3*m.LoadTime + formSlack
+		}
+	}
+	return formSlack
+}
+
+func isMember(x *tracker.Runner, r *Replica) bool {
+	return x.HasMembership && x.Membership.Replica == r.Name && x.Membership.Epoch == r.Epoch
+}
+
+func (d *decider) advanceForming(r *Replica) {
+	ready := 0
+	for _, m := range r.Members {
+		x := d.runners[m.ID]
+		switch {
+		case !isMember(x, r):
+			d.order(Order{Operation: Join, Runner: m, Replica: r.Name, Epoch: r.Epoch, Model: r.Model, Members: ids(r.Members)})
+		case x.Membership.State == tracker.MemberReady || x.Membership.State == tracker.MemberOpen:
+			ready++
+		}
+	}
+	head := d.runners[r.Members[0].ID]
+	switch {
+	case ready < len(r.Members):
+	case head.Membership.State == tracker.MemberOpen:
+		r.State = Open
+		d.out.Changed = true
+		d.note("replica %s of %s is open", r.Name, r.Model)
+	default:
+		d.order(Order{Operation: Start, Runner: r.Members[0], Replica: r.Name, Epoch: r.Epoch})
+	}
+}
+
+// advanceClosing reports whether the members are free.
+func (d *decider) advanceClosing(r *Replica) bool {
+	head := r.Members[0]
+	x, ok := d.runners[head.ID]
+	if !ok || d.in.Dead[head.ID] {
+		since, known := d.in.Gone[r.Name]
+		if d.in.Left[r.Name] || known && d.in.Now.Sub(since) > d.in.StallTime {
+			d.note("replica %s is dissolved: its head is gone", r.Name)
+			return true
+		}
+		d.order(Order{Operation: Leave, Runner: head, Replica: r.Name, Epoch: r.Epoch})
+		return false
+	}
+	if x.BootTime != head.BootTime || !isMember(x, r) {
+		d.note("replica %s is dissolved", r.Name)
+		return true
+	}
+	isWorking := x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing
+	if r.Graceful && isWorking {
+		if x.Membership.State == tracker.MemberOpen {
+			d.order(Order{Operation: Close, Runner: head, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
+		}
+		return false
+	}
+	d.order(Order{Operation: Leave, Runner: head, Replica: r.Name, Epoch: r.Epoch})
+	return false
+}
+
+// free returns the runners that no replica holds.
+func (d *decider) free() []*tracker.Runner {
+	held := map[string]bool{}
+	for _, r := range d.out.Assignment.Replicas {
+		for _, m := range r.Members {
+			held[m.ID] = true
+		}
+	}
+	list := []*tracker.Runner{}
+	for _, x := range d.in.Runners {
+		if held[x.ID] || x.State != tracker.Ready || d.in.Dead[x.ID] {
+			continue
+		}
+		if x.HasMembership && x.Membership.Rank == 0 && (x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing) {
+			d.order(Order{
+				Operation: Leave, Runner: Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime},
+				Replica: x.Membership.Replica, Epoch: x.Membership.Epoch,
+			})
+			continue
+		}
+		list = append(list, x)
+	}
+	return list
+}
+
+// counts returns the replicas of each model that are not closing.
+func (d *decider) counts() (counts map[string]int, forming int) {
+	counts = map[string]int{}
+	for _, r := range d.out.Assignment.Replicas {
+		if r.State != Closing {
+			counts[r.Model]++
+		}
+		if r.State == Forming {
+			forming++
+		}
+	}
+	return counts, forming
+}
+
+// form starts new replicas and returns the runners that are still free.
+func (d *decider) form(free []*tracker.Runner) []*tracker.Runner {
+	available := 0
+	for _, x := range d.in.Runners {
+		if x.State == tracker.Ready && !d.in.Dead[x.ID] {
+			available++
+		}
+	}
+	goal := Goal(d.in.Engine.Models, available)
+	for {
+		counts, forming := d.counts()
+		if d.in.OneByOne && forming > 0 {
+			return free
+		}
+		model, members, loads := d.next(goal, counts, free)
+		if model == nil {
+			return free
+		}
+		d.loads -= loads
+		free = remove(free, members)
+		d.begin(model, members)
+	}
+}
+
+// next chooses the model that lacks most and the runners that have it ready soonest.
+func (d *decider) next(goal, counts map[string]int, free []*tracker.Runner) (*matcher.Model, []*tracker.Runner, int) {
+	var best *matcher.Model
+	var bestMembers []*tracker.Runner
+	bestLoads, bestFilled := 0, 0.0
+	for i := range d.in.Engine.Models {
+		m := &d.in.Engine.Models[i]
+		if counts[m.Name] >= goal[m.Name] || len(free) < m.Size {
+			continue
+		}
+		members := soonest(free, m)
+		loads := loadsFor(members, m)
+		if loads > d.loads {
+			continue
+		}
+		filled := float64(counts[m.Name]) / float64(goal[m.Name])
+		if best == nil || filled < bestFilled || filled == bestFilled && loads < bestLoads {
+			best, bestMembers, bestLoads, bestFilled = m, members, loads, filled
+		}
+	}
+	return best, bestMembers, bestLoads
+}
+
+func (d *decider) begin(m *matcher.Model, members []*tracker.Runner) {
+	a := &d.out.Assignment
+	a.Epoch++
+	r := Replica{Name: fmt.Sprintf("%s-%d", a.Domain, a.Epoch), Model: m.Name, Epoch: a.Epoch, State: Forming}
+	for _, x := range members {
+		r.Members = append(r.Members, Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime})
+	}
+	a.Replicas = append(a.Replicas, r)
+	d.out.Changed = true
+	d.note("replica %s of %s forms from %v", r.Name, r.Model, ids(r.Members))
+	for _, x := range r.Members {
+		d.order(Order{Operation: Join, Runner: x, Replica: r.Name, Epoch: r.Epoch, Model: r.Model, Members: ids(r.Members)})
+	}
+}
+
+// stage has spares load the weights that a lost member would need.
+func (d *decider) stage(free []*tracker.Runner) {
+	if d.in.OneByOne || len(d.in.Engine.Models) == 0 {
+		return
+	}
+	staged := map[string]int{}
+	empty := []*tracker.Runner{}
+	for _, x := range free {
+		if len(x.Staged) == 0 {
+			empty = append(empty, x)
+		}
+		for _, m := range x.Staged {
+			staged[m]++
+		}
+	}
+	for _, x := range empty {
+		if d.loads < 1 {
+			return
+		}
+		m := d.scarcest(staged)
+		staged[m]++
+		d.loads--
+		d.order(Order{Operation: Stage, Runner: Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime}, Model: m})
+	}
+}
+
+// scarcest returns the model with the fewest staged spares for the VMs that its
+// replicas need.
+func (d *decider) scarcest(staged map[string]int) string {
+	best, bestRatio := "", 0.0
+	for _, m := range d.in.Engine.Models {
+		ratio := float64(staged[m.Name]) / float64(m.Size)
+		if best == "" || ratio < bestRatio {
+			best, bestRatio = m.Name, ratio
+		}
+	}
+	return best
+}
+
+// Goal returns how many replicas of each model a domain with some runners
+// should have: the runners but for some spares, divided by the models' shares.
+func Goal(models []matcher.Model, runners int) map[string]int {
+	goal := map[string]int{}
+	left := runners - int(float64(runners)*spareShare)
+	for {
+		best, bestUse := -1, 0.0
+		for i, m := range models {
+			if m.Size > left || m.InitialShare <= 0 {
+				continue
+			}
+			use := float64(goal[m.Name]*m.Size) / m.InitialShare
+			if best < 0 || use < bestUse {
+				best, bestUse = i, use
+			}
+		}
+		if best < 0 {
+			return goal
+		}
+		goal[models[best].Name]++
+		left -= models[best].Size
+	}
+}
+
+// cost ranks how soon a runner can serve a model.
+func cost(x *tracker.Runner, m *matcher.Model) int {
+	switch {
+	case slices.Contains(x.Staged, m.Name):
+		return 0
+	case len(x.Staged) == 0:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func soonest(free []*tracker.Runner, m *matcher.Model) []*tracker.Runner {
+	list := slices.Clone(free)
+	slices.SortStableFunc(list, func(x, y *tracker.Runner) int { return cost(x, m) - cost(y, m) })
+	return list[:m.Size]
+}
+
+func loadsFor(members []*tracker.Runner, m *matcher.Model) int {
+	n := 0
+	for _, x := range members {
+		if cost(x, m) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func remove(free, members []*tracker.Runner) []*tracker.Runner {
+	return slices.DeleteFunc(slices.Clone(free), func(x *tracker.Runner) bool { return slices.Contains(members, x) })
+}
+
+func ids(members []Member) []string {
+	list := make([]string, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.ID)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/fleet/former/types.go
@@ -0,0 +1,127 @@
+package former
+
+import (
+	"context"
+	"time"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// ReplicaState is how far a replica has come.
+type ReplicaState string
+
+// The states of a replica.
+const (
+	Forming ReplicaState = "forming"
+	Open    ReplicaState = "open"
+	Closing ReplicaState = "closing"
+)
+
+// Member is a VM's part in a replica.
+type Member struct {
+	ID       string `json:"id"`
+	Address  string `json:"address"`
+	BootTime int64  `json:"boot_time"`
+}
+
+// Replica is one replica of a domain. The first member is the head.
+type Replica struct {
+	Name    string       `json:"name"`
+	Model   string       `json:"model"`
+	Epoch   int64        `json:"epoch"`
+	State   ReplicaState `json:"state"`
+	Members []Member     `json:"members"`
+	// Graceful says that a closing replica still finishes its requests.
+	Graceful bool `json:"graceful,omitempty"`
+}
+
+// Assignment is the stored state of a domain.
+type Assignment struct {
+	Service  string    `json:"service"`
+	Domain   string    `json:"domain"`
+	Epoch    int64     `json:"epoch"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// Operation is what a runner is ordered to do.
+type Operation string
+
+// The operations.
+const (
+	Join  Operation = "join"
+	Start Operation = "open"
+	Close Operation = "close"
+	Leave Operation = "leave"
+	Stage Operation = "stage"
+)
+
+// Order is sent to one runner.
+type Order struct {
+	Operation Operation
+	Runner    Member
+	Replica   string
+	Epoch     int64
+	Model     string
+	Members   []string
+	// Graceful lets a closing head finish its requests.
+	Graceful bool
+	// Fence is the domain's epoch; runners refuse one that is lower than any
+	// they have seen.
+	Fence int64
+}
+
+// Result is a runner's answer to an order.
+type Result int
+
+// The results.
+const (
+	// NoAnswer says that the order may still be carried out.
+	NoAnswer Result = iota
+	Begun
+	Done
+	Unfit
+	Fenced
+	Elsewhere
+	Rejected
+)
+
+// Send sends an order.
+type Send func(ctx context.Context, o Order) Result
+
+// Input is what a decision is made from.
+type Input struct {
+	Now        time.Time
+	Engine     *matcher.Engine
+	Assignment Assignment
+	// Runners are those of the domain.
+	Runners []*tracker.Runner
+	// Dead are the IDs of runners that do not answer.
+	Dead map[string]bool
+	// Since is when each replica came to its state, by name, as far as this
+	// node saw.
+	Since map[string]time.Time
+	// Gone is since when a head has been missing, by replica.
+	Gone map[string]time.Time
+	// Left are the replicas whose head has confirmed that it left.
+	Left map[string]bool
+	// StallTime is how long a replica without a member stands still before it
+	// breaks.
+	StallTime time.Duration
+	// Loads is how many loads from the weight store may begin now.
+	Loads int
+	// OneByOne forms one replica at a time.
+	OneByOne bool
+}
+
+// Decision is what should be done.
+type Decision struct {
+	Assignment Assignment
+	// Changed says that the assignment must be stored before the orders go out.
+	Changed bool
+	Orders  []Order
+	// Loads is the number of loads that the orders begin.
+	Loads int
+	// Notes explain the changes, for the log.
+	Notes []string
+}
--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -67,6 +67,11 @@
 	ReasonShuttingDown       Reason = "shutting_down"
 	ReasonNotReady           Reason = "not_ready"
 	ReasonTooManyConnections Reason = "too_many_connections"
+	ReasonStalled            Reason = "stalled"
+	ReasonRunnerError        Reason = "runner_error"
+	ReasonStale              Reason = "configuration_stale"
+	ReasonNoConfiguration    Reason = "no_configuration"
+	ReasonUnknownRoute       Reason = "unknown_route"
 )
 
 // The headers of answers.
@@ -85,6 +90,8 @@
 	RequestID  string
 	Attempts   int
 	RetryAfter time.Duration
+	// Started says that the caller has got a part of the answer.
+	Started bool
 }
 
 // Error describes the failure.
--- /dev/null
+++ b/internal/network/requester/pool.go
@@ -0,0 +1,129 @@
+package requester
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marjorammoor/internal/state/sharder"
+)
+
+// pool keeps idle connections by address, the most recently used first.
+type pool struct {
+	lists sharder.Map[string, *idleList]
+}
+
+type idleList struct {
+	mu    sync.Mutex
+	conns []*conn
+}
+
+func (p *pool) get(address string) *conn {
+	l, ok := p.lists.Get(address)
+	if !ok {
+		return nil
+	}
+	for {
+		c := l.pop()
+		if c == nil {
+			return nil
+		}
+		if time.Now().Before(c.expires) && isQuiet(c) {
+			c.written = false
+			return c
+		}
+		c.abort()
+	}
+}
+
+func (p *pool) put(c *conn) {
+	l := p.lists.GetOrCreate(c.address, func() *idleList { return &idleList{} })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.conns) > 0 && now.After(l.conns[0].expires) {
+		l.conns[0].abort()
+		l.conns = l.conns[1:]
+	}
+	l.conns = append(l.conns, c)
+}
+
+func (l *idleList) pop() *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.conns)
+	if n == 0 {
+		return nil
+	}
+	c := l.conns[n-1]
+	l.conns = l.conns[:n-1]
+	return c
+}
+
+// Forget closes the idle connections to an address.
+func (c *Client) Forget(address string) {
+	l, ok := c.pool.lists.Get(address)
+	if !ok {
+		return
+	}
+	for {
+		cn := l.pop()
+		if cn == nil {
+			return
+		}
+		cn.abort()
+	}
+}
+
+// isQuiet reports whether an idle connection is open and has nothing to read.
+// Bytes that wait there belong to no request of ours.
+func isQuiet(c *conn) bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	buffer := [1]byte{}
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, e := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		peekErr = e
+		if e == nil && n == 0 {
+			peekErr = io.EOF
+		}
+		return true
+	})
+	return err == nil && peekErr == unix.EAGAIN
+}
+
+// keepAliveTimeout reads the timeout of a Keep-Alive header in seconds.
+func keepAliveTimeout(v string) (int, bool) {
+	for part := range strings.SplitSeq(v, ",") {
+		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(key, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		return seconds, err == nil
+	}
+	return 0, false
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
--- /dev/null
+++ b/internal/network/requester/requester.go
@@ -0,0 +1,297 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// DefaultDialTimeout bounds opening a connection. A lost opening packet is
+	// sent again after a second, which is too late for most requests.
+	DefaultDialTimeout = 400 * time.Millisecond
+	// DefaultIdleTimeout is how long a connection is kept unless the server says less.
+	DefaultIdleTimeout = 20 * time.Second
+	// keepAliveMargin is subtracted from the server's idle timeout, so that a
+	// request does not cross the server's close.
+	keepAliveMargin = 500 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged.
+	userTimeout = 3 * time.Second
+	// maxSkipped bounds the answers to other attempts that are read past.
+	maxSkipped = 4
+	// concurrentBody is the size in bytes from which a body is written while
+	// the answer is awaited, since a server may answer before reading it.
+	concurrentBody = 64 << 10
+	bufferSize     = 4 << 10
+)
+
+var (
+	connectionsOpened = metrics.NewCounter(`marjorammoor_connections_opened_total`)
+	connectionsReused = metrics.NewCounter(`marjorammoor_connections_reused_total`)
+	answersSkipped    = metrics.NewCounter(`marjorammoor_answers_skipped_total{reason="other_attempt"}`)
+)
+
+// ErrForeignAnswer says that a server delivered only answers to other attempts.
+var ErrForeignAnswer = errors.New("the answer belongs to another attempt")
+
+// Request is one request.
+type Request struct {
+	Method string
+	// Address is where the request is sent, as ip:port.
+	Address string
+	// Target is the path with the query, sent as it is.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// EchoHeader names a header whose value the server repeats in its answer;
+	// an answer with another value is skipped. Empty means no such check.
+	EchoHeader string
+	// Fresh forbids a kept connection.
+	Fresh bool
+}
+
+// Error is a request that got no answer.
+type Error struct {
+	// Sent reports whether a byte of the request may have reached the server.
+	Sent bool
+	Err  error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string {
+	return fmt.Sprintf("request failed, sent=%t: %v", e.Sent, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// MaySent reports whether a request that failed with err may have reached the
+// server.
+func MaySent(err error) bool {
+	var e *Error
+	return !errors.As(err, &e) || e.Sent
+}
+
+// Client sends requests over kept connections. The zero value is ready.
+type Client struct {
+	// DialTimeout bounds opening a connection; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
+	// Dial opens connections; nil means TCP with a bound on unacknowledged bytes.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	pool pool
+}
+
+// Answer is a server's answer. Close must be called once it is no longer used.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body ends with io.EOF only if the answer is complete.
+	Body io.Reader
+
+	response *http.Response
+	conn     *conn
+	client   *Client
+	stop     func() bool
+	once     sync.Once
+	complete bool
+	keep     bool
+	keepFor  time.Duration
+}
+
+// Do sends a request and returns the answer as soon as its header is there.
+// When ctx ends the connection is closed, also while the body is read. The
+// error is always an *Error.
+func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
+	cn, err := c.connection(ctx, r)
+	if err != nil {
+		return nil, &Error{Sent: false, Err: err}
+	}
+	stop := context.AfterFunc(ctx, cn.abort)
+	written := make(chan error, 1)
+	isConcurrent := len(r.Body) >= concurrentBody
+	if isConcurrent {
+		go func() { written <- cn.write(r) }()
+	} else {
+		err = cn.write(r)
+		written <- err
+		if err != nil {
+			stop()
+			cn.abort()
+			return nil, &Error{Sent: cn.written, Err: fmt.Errorf("write request: %w", err)}
+		}
+	}
+	response, err := cn.readHeader(r)
+	if err != nil {
+		stop()
+		cn.abort()
+		return nil, &Error{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
+	}
+	a := &Answer{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, stop: stop}
+	a.keepFor = keepDuration(response)
+	a.keep = a.keepFor > 0
+	select {
+	case err := <-written:
+		a.keep = a.keep && err == nil
+	default:
+		a.keep = false
+	}
+	a.Body = &body{answer: a}
+	return a, nil
+}
+
+// Close gives the connection back if the answer was read whole, and closes it
+// otherwise.
+func (a *Answer) Close() {
+	a.once.Do(func() {
+		isLive := a.stop()
+		if !isLive || !a.complete || !a.keep || a.conn.reader.Buffered() > 0 {
+			a.conn.abort()
+			return
+		}
+		a.conn.expires = time.Now().Add(a.keepFor)
+		a.client.pool.put(a.conn)
+	})
+}
+
+// Abort closes the connection, so that reading the body fails at once.
+func (a *Answer) Abort() { a.conn.abort() }
+
+// keepDuration says how long the connection may be kept after the answer.
+func keepDuration(r *http.Response) time.Duration {
+	if r.Close || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
+		return 0
+	}
+	seconds, ok := keepAliveTimeout(r.Header.Get("Keep-Alive"))
+	if !ok {
+		return DefaultIdleTimeout
+	}
+	return min(time.Duration(seconds)*time.Second-keepAliveMargin, DefaultIdleTimeout)
+}
+
+// body marks the answer complete once its end was read.
+type body struct{ answer *Answer }
+
+// Read reads a part of the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.answer.response.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.answer.complete = true
+	}
+	return n, err
+}
+
+func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
+	if !r.Fresh {
+		if cn := c.pool.get(r.Address); cn != nil {
+			connectionsReused.Inc()
+			return cn, nil
+		}
+	}
+	dial := c.Dial
+	if dial == nil {
+		dial = c.dialTCP
+	}
+	nc, err := dial(ctx, r.Address)
+	if err != nil {
+		return nil, fmt.Errorf("open connection: %w", err)
+	}
+	connectionsOpened.Inc()
+	return &conn{Conn: nc, address: r.Address, reader: bufio.NewReaderSize(nc, bufferSize)}, nil
+}
+
+func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	timeout := c.DialTimeout
+	if timeout == 0 {
+		timeout = DefaultDialTimeout
+	}
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return setUserTimeout(raw, userTimeout)
+	}}
+	return d.DialContext(ctx, "tcp4", address)
+}
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	written bool
+	expires time.Time
+	closing sync.Once
+}
+
+// abort closes the connection. It may be called more than once and from
+// another goroutine.
+func (c *conn) abort() {
+	c.closing.Do(func() { _ = c.Conn.Close() })
+}
+
+func (c *conn) write(r *Request) error {
+	b := make([]byte, 0, 512+len(r.Body))
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for k, values := range r.Header {
+		for _, v := range values {
+			b = append(b, k...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, r.Body...)
+	n, err := c.Write(b)
+	c.written = n > 0
+	return err
+}
+
+// readHeader reads answers until one belongs to the request.
+func (c *conn) readHeader(r *Request) (*http.Response, error) {
+	asked := &http.Request{Method: r.Method}
+	want := ""
+	if r.EchoHeader != "" {
+		want = r.Header.Get(r.EchoHeader)
+	}
+	for range maxSkipped {
+		response, err := http.ReadResponse(c.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		got := ""
+		if want != "" {
+			got = response.Header.Get(r.EchoHeader)
+		}
+		if got == "" || got == want {
+			return response, nil
+		}
+		answersSkipped.Inc()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrForeignAnswer, err)
+		}
+	}
+	return nil, ErrForeignAnswer
+}
--- /dev/null
+++ b/internal/node/server/callers.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/relayer"
+)
+
+const (
+	// balancerDelay is how long the platform may still send new connections to
+	// a node that says that it is not ready.
+	balancerDelay = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace period requests that
+	// still run are broken off.
+	stopMargin = 400 * time.Millisecond
+	// maxHeaderBytes and maxBodyBytes apply while there is no configuration.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 8 << 20
+	maxBodyTime    = 10 * time.Second
+)
+
+var (
+	requestTimes = metrics.NewHistogram(`marjorammoor_request_seconds`)
+	firstBytes   = metrics.NewHistogram(`marjorammoor_first_byte_seconds`)
+)
+
+func (n *Node) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(n.serveCaller),
+		ReadHeaderTimeout: defaultHeaderTime + idleMargin,
+		IdleTimeout:       defaultIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// serveCaller handles one request.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	n.served.Store(true)
+	n.active.Add(1)
+	defer n.active.Add(-1)
+	defer requestTimes.UpdateDuration(arrived)
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	in := n.Ports.ParseRequest(r)
+	in.Arrived = arrived
+	body, failure := n.readBody(w, r, in.ID)
+	if failure != nil {
+		n.fail(w, nil, failure)
+		return
+	}
+	in.Body = body
+	call, failure := n.admitter.Admit(in)
+	if failure != nil {
+		n.fail(w, nil, failure)
+		return
+	}
+	n.carry(r.Context(), w, call)
+}
+
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string) ([]byte, *responder.Failure) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	limit := int64(maxBodyBytes)
+	if c := n.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
+		limit = c.Limits.BodyBytes
+	}
+	if r.ContentLength < 0 || r.ContentLength > 32<<10 {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(maxBodyTime))
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, &responder.Failure{Status: http.StatusRequestEntityTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonBodyTooLarge, Message: err.Error(), RequestID: id}
+	}
+	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: id}
+}
+
+// carry has a call carried out and writes its answer.
+func (n *Node) carry(ctx context.Context, w http.ResponseWriter, c *relayer.Call) {
+	control := http.NewResponseController(w)
+	status := 0
+	a := &relayer.Answer{
+		Start: func(code int, h http.Header) {
+			status = code
+			header := w.Header()
+			for k, v := range h {
+				header[k] = v
+			}
+			if n.stopping.Load() {
+				header.Set("Connection", "close")
+			}
+			firstBytes.UpdateDuration(c.Arrived)
+			w.WriteHeader(code)
+		},
+		Write: func(b []byte) error {
+			if _, err := w.Write(b); err != nil {
+				return fmt.Errorf("write to the caller: %w", err)
+			}
+			if err := control.Flush(); err != nil {
+				return fmt.Errorf("flush to the caller: %w", err)
+			}
+			return nil
+		},
+	}
+	failure := n.relayer.Serve(ctx, c, a)
+	if failure != nil {
+		n.fail(w, c, failure)
+		return
+	}
+	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
+		"attempts", c.Attempts(), "targets", c.Tried(), "ms", time.Since(c.Arrived).Milliseconds())
+}
+
+// fail logs a failure and tells the caller, by breaking the connection if the
+// caller has a part of the answer already.
+func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, f *responder.Failure) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
+	args := []any{
+		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
+		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
+	}
+	if c != nil {
+		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(),
+			"ms", time.Since(c.Arrived).Milliseconds())
+	}
+	n.Log.Warn("request failed", args...)
+	if f.Started || f.Reason == responder.ReasonCallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	n.Ports.WriteFailure(w, f)
+}
+
+// stop ends the node gracefully: it says that it is not ready, serves on until
+// the balancer has moved on, finishes what it has, and withdraws.
+func (n *Node) stop(callers *http.Server) {
+	started := time.Now()
+	n.stopping.Store(true)
+	n.Log.Info("node stops", "requests", n.active.Load())
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.Settings.GracePeriod-stopMargin))
+	defer cancel()
+	go n.announcer.Withdraw(ctx)
+	time.Sleep(min(balancerDelay, n.Settings.GracePeriod/2))
+	if err := callers.Shutdown(ctx); err != nil {
+		n.Log.Warn("requests are broken off", "requests", n.active.Load(), "error", err)
+		_ = callers.Close()
+	}
+	n.Log.Info("node has stopped", "after_ms", time.Since(started).Milliseconds())
+}
--- /dev/null
+++ b/internal/node/server/node.go
@@ -0,0 +1,302 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/routing/retrier"
+	"marjorammoor/internal/serving/admitter"
+	"marjorammoor/internal/serving/announcer"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/relayer"
+	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/state/ranker"
+	"marjorammoor/internal/state/sharder"
+	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/timing/repeater"
+)
+
+const (
+	catalogWait       = time.Second
+	runnersWait       = 1500 * time.Millisecond
+	runnersInterval   = 200 * time.Millisecond
+	stallInterval     = 100 * time.Millisecond
+	formInterval      = 100 * time.Millisecond
+	expireInterval    = 250 * time.Millisecond
+	readyAge          = 3500 * time.Millisecond
+	storeAge          = 2500 * time.Millisecond
+	trustedOutage     = 1200 * time.Millisecond
+	returnGrace       = 2200 * time.Millisecond
+	minNodes          = 1
+	budgetShare       = 0.8
+	memoryShare       = 0.7
+	garbagePercent    = 200
+	defaultIdle       = 20 * time.Second
+	defaultHeaderTime = 3 * time.Second
+	idleMargin        = 2 * time.Second
+)
+
+// Node is one node. Set Settings, Ports and Log before use.
+type Node struct {
+	Settings *Settings
+	Ports    *Ports
+	Log      *slog.Logger
+	// Client sends requests to runners; nil means a new one.
+	Client *requester.Client
+
+	catalog   atomic.Pointer[matcher.Catalog]
+	tracker   *tracker.Tracker
+	balancer  *balancer.Balancer
+	relayer   *relayer.Relayer
+	admitter  *admitter.Admitter
+	beater    *beater.Beater
+	former    *former.Controller
+	announcer *announcer.Announcer
+	catalogs  *follower.Follower
+	runners   *follower.Follower
+	budgets   sharder.Map[string, *retrier.Budget]
+
+	startedAt   time.Time
+	served      atomic.Bool
+	stopping    atomic.Bool
+	hasRunners  atomic.Bool
+	active      atomic.Int64
+	suspectsMu  sync.Mutex
+	suspects    map[string]time.Time
+	returnUntil atomic.Int64
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.startedAt = time.Now()
+	debug.SetMemoryLimit(int64(float64(n.Settings.MemoryBytes) * memoryShare))
+	debug.SetGCPercent(garbagePercent)
+	n.build()
+	n.Log.Info("node starts", "data_center", n.Settings.DataCenter, "callers", n.Settings.CallerAddress,
+		"first_start", n.Settings.IsFirstStart)
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	callers, err := n.listen(n.Settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := n.listen(n.Settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 4)
+	n.background(work, failed)
+	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: defaultHeaderTime}
+	callerServer := n.callerServer()
+	go serve(readyServer, ready, failed)
+	go serve(callerServer, callers, failed)
+	if n.Settings.MetricsAddress != "" {
+		if l, err := n.listen(n.Settings.MetricsAddress); err != nil {
+			n.Log.Warn("metrics are not served", "error", err)
+		} else {
+			go serve(&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: defaultHeaderTime}, l, failed)
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("run the node: %w", err)
+	}
+	n.stop(callerServer)
+	return nil
+}
+
+func (n *Node) listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+func serve(s *http.Server, l net.Listener, failed chan<- error) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- err
+	}
+}
+
+// build puts the parts together.
+func (n *Node) build() {
+	s, p := n.Settings, n.Ports
+	if n.Client == nil {
+		n.Client = &requester.Client{}
+	}
+	n.suspects = map[string]time.Time{}
+	n.tracker = &tracker.Tracker{}
+	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Suspected: n.noteSuspect}
+	n.tracker.Changed = n.balancer.Changed
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.catalogs = &follower.Follower{
+		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
+		Replace: func(objects []follower.Object, _ time.Duration) { n.takeCatalogs(objects) },
+		Update:  n.takeCatalogs,
+	}
+	n.runners = &follower.Follower{
+		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
+		Replace: n.replaceRunners, Update: n.updateRunners,
+	}
+	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: s.RevocationTimeout}
+	n.beater = &beater.Beater{Self: s.Name, Fill: n.fillBeat, Received: n.receiveBeat, Log: n.Log}
+	n.announcer = &announcer.Announcer{
+		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
+		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
+	}
+	n.former = &former.Controller{
+		View: n.tracker.View, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns,
+		Suspects: n.suspected, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
+	}
+}
+
+// background starts what runs beside the servers.
+func (n *Node) background(ctx context.Context, failed chan<- error) {
+	go n.catalogs.Run(ctx)
+	go n.runners.Run(ctx)
+	go n.announcer.Run(ctx)
+	go func() {
+		if err := n.beater.Run(ctx, n.Settings.PeerAddress); err != nil {
+			failed <- err
+		}
+	}()
+	go repeater.Every(ctx, stallInterval, n.balancer.CheckStalls)
+	go repeater.Every(ctx, formInterval, func() { n.former.Step(ctx) })
+	go repeater.Every(ctx, expireInterval, n.tracker.Expire)
+}
+
+// isEarly reports whether the system has just started and no caller has come.
+func (n *Node) isEarly() bool {
+	return n.Settings.IsFirstStart && !n.served.Load() && time.Since(n.startedAt) < n.Settings.LeadTime
+}
+
+func (n *Node) services() map[string]*matcher.Service {
+	if c := n.catalog.Load(); c != nil {
+		return c.Services
+	}
+	return nil
+}
+
+// loadsPerWindow returns the bound on loads in all domains together.
+func (n *Node) loadsPerWindow() float64 {
+	rate := 0.0
+	for _, s := range n.services() {
+		if s.Engine != nil {
+			rate = max(rate, s.Engine.LoadsPerSecond)
+		}
+	}
+	return rate * n.Settings.LoadWindow.Seconds() * n.Settings.LoadOvershoot
+}
+
+// owns reports whether this node works on a domain. Nodes that do not reach
+// the store cannot.
+func (n *Node) owns(domain string) bool {
+	if n.stopping.Load() || n.catalogs.Age() > storeAge {
+		return false
+	}
+	names := []string{n.Settings.Name}
+	for _, p := range n.beater.Live() {
+		if p.HasStore && !p.Leaving {
+			names = append(names, p.Node)
+		}
+	}
+	return ranker.First(domain, names) == n.Settings.Name
+}
+
+// budget returns the budget of repeated sends of a service. The nodes divide it
+// evenly.
+func (n *Node) budget(service string) *retrier.Budget {
+	return n.budgets.GetOrCreate(service, func() *retrier.Budget {
+		nodes := max(len(n.beater.Live())+1, minNodes)
+		return &retrier.Budget{
+			PerRequest: n.Settings.RetryRatio * budgetShare,
+			Burst:      max(n.Settings.RetryBurst*budgetShare/float64(nodes), 1),
+		}
+	})
+}
+
+func (n *Node) fillBeat(b *beater.Beat) {
+	b.DataCenter = n.Settings.DataCenter
+	b.Leaving = n.stopping.Load()
+	b.HasStore = n.catalogs.Age() < storeAge
+	b.InFlight, b.Suspects = n.balancer.Counts()
+}
+
+func (n *Node) receiveBeat(b *beater.Beat) {
+	n.balancer.SetPeer(b.Node, b.InFlight)
+	for _, id := range b.Suspects {
+		n.keepSuspect(id)
+		n.balancer.Suspect(id)
+	}
+	n.balancer.Changed()
+}
+
+func (n *Node) noteSuspect(t balancer.Target, idle time.Duration) {
+	n.Log.Warn("target is suspected", "runner", t.ID, "replica", t.Replica, "model", t.Model, "idle_ms", idle.Milliseconds())
+	n.keepSuspect(t.ID)
+}
+
+// suspectLifetime is how long a suspicion leads to probes.
+const suspectLifetime = 1500 * time.Millisecond
+
+func (n *Node) keepSuspect(id string) {
+	n.suspectsMu.Lock()
+	n.suspects[id] = time.Now()
+	n.suspectsMu.Unlock()
+}
+
+func (n *Node) suspected() map[string]bool {
+	n.suspectsMu.Lock()
+	defer n.suspectsMu.Unlock()
+	list := map[string]bool{}
+	for id, at := range n.suspects {
+		if time.Since(at) > suspectLifetime {
+			delete(n.suspects, id)
+			continue
+		}
+		list[id] = true
+	}
+	return list
+}
+
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.catalog.Load() != nil && n.hasRunners.Load() && n.catalogs.Age() < readyAge
+}
+
+func (n *Node) readyHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(n.Ports.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	r.Get("/metrics", writeMetrics)
+	return r
+}
+
+func metricsHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", writeMetrics)
+	return r
+}
+
+func writeMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }
--- a/internal/routing/retrier/retrier.go
+++ b/internal/routing/retrier/retrier.go
@@ -36,6 +36,13 @@
 
 // Budget bounds retries in relation to first attempts. The zero value is ready.
 type Budget struct {
+	// PerRequest is the part of a retry that each first attempt earns; 0 means
+	// a tenth.
+	PerRequest float64
+	// Burst is the number of retries that are allowed without any load, and the
+	// most that can be saved up; 0 means 10 and 100.
+	Burst float64
+
 	mu      sync.Mutex
 	started bool
 	saved   float64
@@ -46,7 +53,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.start()
-	b.saved = min(b.saved+earnedPerRequest, maxSaved)
+	perRequest, bound := b.PerRequest, b.Burst
+	if perRequest == 0 {
+		perRequest = earnedPerRequest
+	}
+	if bound == 0 {
+		bound = maxSaved
+	}
+	b.saved = min(b.saved+perRequest, bound)
 }
 
 // Spend takes one retry and reports whether the budget allows it.
@@ -65,6 +79,9 @@
 	if !b.started {
 		b.started = true
 		b.saved = reserve
+		if b.Burst > 0 {
+			b.saved = b.Burst
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/serving/balancer/balancer.go
@@ -0,0 +1,250 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/state/sharder"
+)
+
+var (
+	// ErrNoTarget says that nothing serves the service or model now.
+	ErrNoTarget = errors.New("no target serves the model")
+	// ErrFull says that all targets are full and no place will be free in time.
+	ErrFull = errors.New("all targets are full")
+)
+
+const (
+	// remoteCost is how many requests in flight a target in another data center
+	// is worse by.
+	remoteCost = 1.5
+	// tieSpread separates targets of like load, so that nodes with the same
+	// figures do not all choose the same one.
+	tieSpread = 1.0
+	// stallAfter is how long a target with requests may send nothing. It is
+	// above the time that a pass with the longest prompts takes.
+	stallAfter = 700 * time.Millisecond
+	// suspectFor is how long a target that stalled gets no requests.
+	suspectFor = 5 * time.Second
+)
+
+var stalls = metrics.NewCounter(`marjorammoor_targets_suspected_total`)
+
+// Target is what a request can be sent to.
+type Target = *tracker.Target
+
+// Request is what a place is wanted for.
+type Request struct {
+	Service string
+	Model   string
+	// Priority is the rank; 0 comes first.
+	Priority int
+	// Arrived is when the caller's request came in.
+	Arrived time.Time
+	// Objective is when an answer stops being worth its full value.
+	Objective time.Time
+	// GiveUp is until when the request may wait.
+	GiveUp time.Time
+	// Tried are the IDs of targets that must not be chosen again.
+	Tried []string
+}
+
+func (r *Request) hasTried(id string) bool {
+	for _, t := range r.Tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Balancer chooses targets. Set View and DataCenter before use.
+type Balancer struct {
+	View       func() *tracker.View
+	DataCenter string
+	// Suspected, if set, is told of each target that is newly suspected.
+	Suspected func(t Target, idle time.Duration)
+
+	loads sharder.Map[string, *Load]
+	lanes sharder.Map[laneKey, *lane]
+}
+
+func (b *Balancer) load(id string) *Load {
+	return b.loads.GetOrCreate(id, func() *Load { return &Load{own: map[*Place]struct{}{}} })
+}
+
+// Acquire returns a place at the best target, waiting for one until r.GiveUp.
+func (b *Balancer) Acquire(ctx context.Context, r *Request) (*Place, error) {
+	l := b.lanes.GetOrCreate(laneKey{r.Service, r.Model}, func() *lane { return &lane{} })
+	return l.acquire(ctx, b, r)
+}
+
+// Changed lets waiting requests look at the targets again.
+func (b *Balancer) Changed() {
+	b.lanes.Each(func(_ laneKey, l *lane) bool {
+		l.dispatch(b)
+		return true
+	})
+}
+
+// SetPeer sets what another node has in flight.
+func (b *Balancer) SetPeer(node string, counts map[string]int) {
+	now := time.Now()
+	for id, n := range counts {
+		l := b.load(id)
+		l.mu.Lock()
+		if l.peers == nil {
+			l.peers = map[string]peerLoad{}
+		}
+		l.peers[node] = peerLoad{count: n, at: now}
+		l.mu.Unlock()
+	}
+	b.loads.Each(func(id string, l *Load) bool {
+		if _, ok := counts[id]; !ok {
+			l.mu.Lock()
+			delete(l.peers, node)
+			l.mu.Unlock()
+		}
+		return true
+	})
+}
+
+// Suspect keeps requests away from a target that another node suspects.
+func (b *Balancer) Suspect(id string) {
+	l := b.load(id)
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.After(l.suspected) && now.Sub(l.progress) > stallAfter/2 {
+		l.suspected = now.Add(suspectFor / 2)
+	}
+}
+
+// Clear forgets what was held against a target, because it has started anew.
+func (b *Balancer) Clear(id string) {
+	l := b.load(id)
+	l.mu.Lock()
+	l.suspected, l.avoid, l.failures = time.Time{}, time.Time{}, 0
+	l.mu.Unlock()
+}
+
+// Counts returns what this node has in flight, and the targets it suspects.
+func (b *Balancer) Counts() (counts map[string]int, suspects []string) {
+	now := time.Now()
+	counts = map[string]int{}
+	b.loads.Each(func(id string, l *Load) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.own) > 0 {
+			counts[id] = len(l.own)
+		}
+		if now.Before(l.suspected) {
+			suspects = append(suspects, id)
+		}
+		return true
+	})
+	return counts, suspects
+}
+
+// take reserves the best target with room, or returns nil. found says whether
+// there is any target that is not held to be broken.
+func (b *Balancer) take(l *lane, r *Request) (place *Place, found bool) {
+	now := time.Now()
+	var best Target
+	var bestLoad *Load
+	bestScore := 0.0
+	for _, t := range b.View().Targets(r.Service, r.Model) {
+		if r.hasTried(t.ID) {
+			continue
+		}
+		load := b.load(t.ID)
+		load.mu.Lock()
+		n := load.count(now)
+		isHeld := now.Before(load.suspected) || now.Before(load.avoid)
+		failures := load.failures
+		load.mu.Unlock()
+		if isHeld {
+			continue
+		}
+		found = true
+		if n >= t.Slots {
+			continue
+		}
+		score := float64(n) + failures*failureCost + rand.Float64()*tieSpread
+		if t.DataCenter != b.DataCenter {
+			score += remoteCost
+		}
+		if best == nil || score < bestScore {
+			best, bestLoad, bestScore = t, load, score
+		}
+	}
+	if best == nil {
+		return nil, found
+	}
+	p := &Place{Target: best, load: bestLoad, balancer: b, lane: l, taken: now}
+	bestLoad.mu.Lock()
+	bestLoad.own[p] = struct{}{}
+	bestLoad.mu.Unlock()
+	return p, true
+}
+
+// CheckStalls suspects the targets that have requests from this node but have
+// sent nothing for too long, and tells those requests to move.
+func (b *Balancer) CheckStalls() {
+	now := time.Now()
+	for _, t := range b.View().All() {
+		if t.Model == "" {
+			continue
+		}
+		l, ok := b.loads.Get(t.ID)
+		if !ok {
+			continue
+		}
+		if moves, idle := l.stalled(now); len(moves) > 0 {
+			stalls.Inc()
+			if b.Suspected != nil {
+				b.Suspected(t, idle)
+			}
+			for _, move := range moves {
+				move(ErrStalled)
+			}
+		}
+	}
+}
+
+// stalled returns the moves of a target's requests if it shows no progress.
+func (l *Load) stalled(now time.Time) ([]func(error), time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.own) == 0 {
+		return nil, 0
+	}
+	since := l.progress
+	oldest := now
+	for p := range l.own {
+		if p.taken.Before(oldest) {
+			oldest = p.taken
+		}
+	}
+	if oldest.After(since) {
+		since = oldest
+	}
+	idle := now.Sub(since)
+	if idle < stallAfter {
+		return nil, idle
+	}
+	l.suspected = now.Add(suspectFor)
+	moves := []func(error){}
+	for p := range l.own {
+		if p.move != nil {
+			moves = append(moves, p.move)
+			p.move = nil
+		}
+	}
+	return moves, idle
+}
--- /dev/null
+++ b/internal/serving/balancer/lane.go
@@ -0,0 +1,138 @@
+package balancer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// maxWaiting bounds the requests of a lane that wait at one node. More could
+// not be served before they give up.
+const maxWaiting = 64
+
+var queueTimes = metrics.NewHistogram(`marjorammoor_place_wait_seconds`)
+
+type laneKey struct{ service, model string }
+
+// lane holds the requests that wait for the same targets.
+type lane struct {
+	mu      sync.Mutex
+	waiting []*waiter
+}
+
+type waiter struct {
+	request *Request
+	ready   chan *Place
+}
+
+func (l *lane) acquire(ctx context.Context, b *Balancer, r *Request) (*Place, error) {
+	l.mu.Lock()
+	if !l.hasEarlier(r) {
+		if p, _ := b.take(l, r); p != nil {
+			l.mu.Unlock()
+			return p, nil
+		}
+	}
+	if len(l.waiting) >= maxWaiting {
+		l.mu.Unlock()
+		return nil, ErrFull
+	}
+	w := &waiter{request: r, ready: make(chan *Place, 1)}
+	l.waiting = append(l.waiting, w)
+	l.mu.Unlock()
+	return l.wait(ctx, b, w)
+}
+
+// hasEarlier reports whether a waiting request of the same or a higher rank
+// comes before r.
+func (l *lane) hasEarlier(r *Request) bool {
+	now := time.Now()
+	for _, w := range l.waiting {
+		if comesBefore(w.request, r, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// comesBefore orders waiting requests: those that can meet their objective
+// first, then by priority, then by arrival.
+func comesBefore(x, y *Request, now time.Time) bool {
+	xLate, yLate := now.After(x.Objective), now.After(y.Objective)
+	switch {
+	case xLate != yLate:
+		return yLate
+	case x.Priority != y.Priority:
+		return x.Priority < y.Priority
+	default:
+		return x.Arrived.Before(y.Arrived)
+	}
+}
+
+func (l *lane) wait(ctx context.Context, b *Balancer, w *waiter) (*Place, error) {
+	started := time.Now()
+	defer queueTimes.UpdateDuration(started)
+	t := time.NewTimer(time.Until(w.request.GiveUp))
+	defer t.Stop()
+	select {
+	case p := <-w.ready:
+		return p, nil
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	if p := l.leave(w); p != nil {
+		if ctx.Err() == nil {
+			return p, nil
+		}
+		p.Release()
+	}
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	if len(b.View().Targets(w.request.Service, w.request.Model)) == 0 {
+		return nil, ErrNoTarget
+	}
+	return nil, ErrFull
+}
+
+// leave removes a waiter, or returns the place that it was given meanwhile.
+func (l *lane) leave(w *waiter) *Place {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, x := range l.waiting {
+		if x == w {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			return nil
+		}
+	}
+	return <-w.ready
+}
+
+// dispatch gives free places to waiting requests in order.
+func (l *lane) dispatch(b *Balancer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.waiting) > 0 {
+		i := l.first()
+		w := l.waiting[i]
+		p, _ := b.take(l, w.request)
+		if p == nil {
+			return
+		}
+		l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+		w.ready <- p
+	}
+}
+
+func (l *lane) first() int {
+	now := time.Now()
+	first := 0
+	for i, w := range l.waiting {
+		if comesBefore(w.request, l.waiting[first].request, now) {
+			first = i
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/serving/relayer/place.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/matcher"
+)
+
+const (
+	// waitShare is the part of the time left that a request may wait for a place.
+	waitShare = 0.25
+	// maxWait bounds the wait for a place.
+	maxWait = 1200 * time.Millisecond
+)
+
+// place finds a target with room.
+func (r *Relayer) place(ctx context.Context, c *Call) (*balancer.Place, *responder.Failure) {
+	now := time.Now()
+	left := c.Deadline.Sub(now)
+	if left < minLeft {
+		return nil, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDeadline, "no time is left")
+	}
+	request := &balancer.Request{
+		Service: c.Service, Model: c.Model, Priority: c.Priority, Arrived: c.Arrived,
+		Objective: c.Arrived.Add(c.Route.TargetLatency),
+		GiveUp:    now.Add(min(maxWait, time.Duration(float64(left)*waitShare))),
+		Tried:     c.tried,
+	}
+	p, err := r.Balancer.Acquire(ctx, request)
+	switch {
+	case err == nil:
+		return p, nil
+	case errors.Is(err, balancer.ErrFull):
+		return nil, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonReplicasFull, err.Error())
+	case errors.Is(err, balancer.ErrNoTarget):
+		return nil, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonNoReplica, err.Error())
+	default:
+		return nil, ended(ctx, c, responder.NotRun)
+	}
+}
+
+// isStream reports whether the call is answered by events.
+func (c *Call) isStream() bool { return c.Route.Type == matcher.Stream }
