Keep members of a replica whose head may still serve

Logs showed two ways: after a zone was cut off, the first entries to come back freed members whose head had been out of reach, not gone; and a node that came back from a cut compared a fresh assignment with runners' entries from before the cut. Ruled out: late orders (the joins were answered at once), two planners writing the same revision. Change: a domain of which no runner is in reach is left alone, and the time for which a head is missing counts only while its domain is in reach; an assignment is compared only with a list of runners confirmed after it was read; nodes of the domain's own data center plan first.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -30,14 +30,17 @@
 
 // Controller works on the domains that this node owns. Set all fields before use.
 type Controller struct {
-	View     func() *tracker.View
+	View func() *tracker.View
+	// ViewAt returns when the view was surely current, on the clock of
+	// follower.Now.
+	ViewAt   func() time.Duration
 	Services func() map[string]*matcher.Service
 	Store    *follower.Store
 	Send     Send
 	// Probe reports whether a runner answers.
 	Probe func(ctx context.Context, m Member) bool
-	// Owns says whether this node works on a domain.
-	Owns func(domain string) bool
+	// Owns says whether this node works on a domain of a data center.
+	Owns func(domain, dataCenter string) bool
 	// Suspects returns the IDs of heads that some node has seen stand still.
 	Suspects func() map[string]bool
 	// IsEarly says that no request has come yet, when loads are not bounded.
@@ -67,6 +70,9 @@
 	probed   time.Time
 	loads    []time.Time
 	ownedAt  time.Time
+	// readAt is when the assignment was read. A view that is older may lack what
+	// the assignment's last writer saw, and must not be compared with it.
+	readAt time.Duration
 }
 
 type orderKey struct {
@@ -80,7 +86,9 @@
 type domain struct {
 	service *matcher.Service
 	name    string
-	runners []*tracker.Runner
+	// dataCenter is that of the runners.
+	dataCenter string
+	runners    []*tracker.Runner
 }
 
 // Step works once on each domain that this node owns. Slow calls go on in the
@@ -89,7 +97,7 @@
 	domains := c.domains()
 	for _, d := range domains {
 		w := c.worker(d)
-		if !c.Owns(d.name) {
+		if !c.Owns(d.name, d.dataCenter) {
 			if !w.busy.Load() {
 				w.loaded, w.ownedAt = false, time.Time{}
 			}
@@ -115,7 +123,7 @@
 			key := s.Name + "/" + r.Domain
 			d, ok := found[key]
 			if !ok {
-				d = &domain{service: s, name: r.Domain}
+				d = &domain{service: s, name: r.Domain, dataCenter: r.DataCenter}
 				found[key] = d
 				list = append(list, d)
 			}
@@ -154,6 +162,9 @@
 			return
 		}
 	}
+	if c.ViewAt() < w.readAt {
+		return
+	}
 	c.probe(ctx, w)
 	in := c.input(w, d, domains)
 	out := Decide(in)
@@ -190,7 +201,7 @@
 		}
 		w.revision = o.Revision
 	}
-	w.current, w.loaded = fresh, true
+	w.current, w.loaded, w.readAt = fresh, true, follower.Now()
 	w.keepTimes(fresh)
 	return nil
 }
@@ -252,23 +263,38 @@
 			delete(w.dead, id)
 		}
 	}
+	isReached := isReached(d.runners, w.dead)
+	if !isReached {
+		clear(w.gone)
+	}
 	for _, r := range w.current.Replicas {
 		head := r.Members[0].ID
 		_, known := w.gone[r.Name]
 		switch {
 		case listed[head] && !w.dead[head]:
 			delete(w.gone, r.Name)
-		case !known:
+		case !known && isReached:
 			w.gone[r.Name] = now
 		}
 	}
 	return &Input{
 		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
 		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime,
-		Loads: c.loadsLeft(w, now, domains), OneByOne: c.IsEarly(),
+		Loads: c.loadsLeft(w, now, domains), OneByOne: c.IsEarly(), IsCutOff: !isReached,
 	}
 }
 
+// isReached reports whether at least one runner of a domain is listed and not
+// known to be silent. If none is, the domain rather than its runners is cut off.
+func isReached(runners []*tracker.Runner, dead map[string]bool) bool {
+	for _, r := range runners {
+		if !dead[r.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // loadsLeft returns this domain's part of the loads that may begin now.
 func (c *Controller) loadsLeft(w *worker, now time.Time, domains int) int {
 	if c.IsEarly() {
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -31,6 +31,9 @@
 		d.runners[r.ID] = r
 	}
 	d.out.Assignment = in.Assignment
+	if in.IsCutOff {
+		return d.out
+	}
 	d.out.Assignment.Replicas = nil
 	for _, r := range in.Assignment.Replicas {
 		if d.advance(&r) {
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -112,6 +112,9 @@
 	Loads int
 	// OneByOne forms one replica at a time.
 	OneByOne bool
+	// IsCutOff says that no runner of the domain is in reach. Its replicas may
+	// still serve others, so they are left as they are.
+	IsCutOff bool
 }
 
 // Decision is what should be done.
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -162,7 +162,7 @@
 		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
 	}
 	n.former = &former.Controller{
-		View: n.tracker.View, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns,
+		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns,
 		Suspects: n.suspected, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
 	}
 }
@@ -206,18 +206,29 @@
 }
 
 // owns reports whether this node works on a domain. Nodes that do not reach
-// the store cannot.
-func (n *Node) owns(domain string) bool {
-	if n.stopping.Load() || n.catalogs.Age() > storeAge {
+// the store cannot; those of the domain's data center come first, because they
+// reach its runners while the data center is cut off from the others.
+func (n *Node) owns(domain, dataCenter string) bool {
+	if n.stopping.Load() || n.catalogs.Age() > storeAge || n.runners.Age() > storeAge {
 		return false
 	}
-	names := []string{n.Settings.Name}
+	near, far := []string{}, []string{n.Settings.Name}
+	if n.Settings.DataCenter == dataCenter {
+		near = append(near, n.Settings.Name)
+	}
 	for _, p := range n.beater.Live() {
-		if p.HasStore && !p.Leaving {
-			names = append(names, p.Node)
+		if !p.HasStore || p.Leaving {
+			continue
 		}
+		far = append(far, p.Node)
+		if p.DataCenter == dataCenter {
+			near = append(near, p.Node)
+		}
+	}
+	if len(near) == 0 {
+		near = far
 	}
-	return ranker.First(domain, names) == n.Settings.Name
+	return ranker.First(domain, near) == n.Settings.Name
 }
 
 // budget returns the budget of repeated sends of a service. The nodes divide it
@@ -235,7 +246,7 @@
 func (n *Node) fillBeat(b *beater.Beat) {
 	b.DataCenter = n.Settings.DataCenter
 	b.Leaving = n.stopping.Load()
-	b.HasStore = n.catalogs.Age() < storeAge
+	b.HasStore = n.catalogs.Age() < storeAge && n.runners.Age() < storeAge
 	b.InFlight, b.Suspects = n.balancer.Counts()
 }
 
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -116,6 +116,9 @@
 	return Now() - time.Duration(at)
 }
 
+// At returns when the copy was surely current, on the clock of Now; 0 if never.
+func (f *Follower) At() time.Duration { return time.Duration(f.confirmed.Load()) }
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	failures := 0
