--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -23,6 +23,9 @@
 const (
 	orderTimeout = 600 * time.Millisecond
 	storeTimeout = 1500 * time.Millisecond
+	// maxPause is the longest time between two decisions of a domain that is in
+	// reach. After a longer one its runners may just have come back.
+	maxPause = 2 * time.Second
 	// loadWindow is over which the store's bound on loads is kept, with a margin
 	// for the time that an order takes.
 	loadWindow = 5500 * time.Millisecond
@@ -33,7 +36,9 @@
 	View func() *tracker.View
 	// ViewAt returns when the view was surely current, on the clock of
 	// follower.Now.
-	ViewAt   func() time.Duration
+	ViewAt func() time.Duration
+	// Clock is the clock of ViewAt; nil means follower.Now.
+	Clock    func() time.Duration
 	Services func() map[string]*matcher.Service
 	Store    *follower.Store
 	Send     Send
@@ -78,6 +83,8 @@
 	probed   time.Time
 	loads    []time.Time
 	ownedAt  time.Time
+	// workedAt is when the last decision was made.
+	workedAt time.Time
 	// reachedAt is when a runner of the domain came into reach.
 	reachedAt time.Time
 	// readAt is when the assignment was read. A view that is older may lack what
@@ -201,6 +208,13 @@
 	c.send(ctx, w, d, out.Orders)
 }
 
+func (c *Controller) clock() time.Duration {
+	if c.Clock != nil {
+		return c.Clock()
+	}
+	return follower.Now()
+}
+
 func objectName(d *domain) string { return d.service.Name + "--" + d.name }
 
 func (c *Controller) load(ctx context.Context, w *worker, d *domain) error {
@@ -219,7 +233,7 @@
 		}
 		w.revision = o.Revision
 	}
-	w.current, w.loaded, w.readAt = fresh, true, follower.Now()
+	w.current, w.loaded, w.readAt = fresh, true, c.clock()
 	c.Log.Info("assignment is read", "domain", d.name, "revision", w.revision, "epoch", fresh.Epoch, "replicas", len(fresh.Replicas))
 	w.keepTimes(fresh)
 	return nil
@@ -283,11 +297,12 @@
 		}
 	}
 	isReached := isReached(d.runners, w.dead)
-	if !isReached {
+	if !isReached || now.Sub(w.workedAt) > maxPause {
 		clear(w.gone)
 		clear(w.silent)
 		w.reachedAt = now
 	}
+	w.workedAt = now
 	for _, r := range w.current.Replicas {
 		head := r.Members[0].ID
 		_, known := w.gone[r.Name]
