--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -51,6 +51,8 @@
 	// AnswersOthers reports whether another node lately got an answer from a
 	// runner that this node doubts.
 	AnswersOthers func(id string) bool
+	// LoadsElsewhere is how many loads other nodes have under way.
+	LoadsElsewhere func() int
 	// IsEarly says that no request has come yet, when loads are not bounded.
 	IsEarly func() bool
 	// LoadsPerWindow is the number of loads that may begin in all domains
@@ -63,6 +65,7 @@
 	workers  map[string]*worker
 	doubtsMu sync.Mutex
 	doubts   map[string]doubt
+	loading  atomic.Int64
 }
 
 // worker is what is known about one domain.
@@ -121,20 +124,28 @@
 	for _, d := range domains {
 		w := c.worker(d)
 		if !c.Owns(d.name, d.dataCenter) {
-			if !w.busy.Load() {
-				w.loaded, w.ownedAt = false, time.Time{}
+			if w.busy.CompareAndSwap(false, true) {
+				c.giveUp(w)
+				w.busy.Store(false)
 			}
 			continue
 		}
 		if w.busy.CompareAndSwap(false, true) {
 			go func() {
 				defer w.busy.Store(false)
-				c.work(ctx, w, d, len(domains))
+				c.work(ctx, w, d, domains)
 			}()
 		}
 	}
 }
 
+// giveUp forgets what was known of a domain that another node works on.
+func (c *Controller) giveUp(w *worker) {
+	w.loaded, w.ownedAt = false, time.Time{}
+	c.loading.Add(-int64(len(w.loading)))
+	clear(w.loading)
+}
+
 func (c *Controller) domains() []*domain {
 	found := map[string]*domain{}
 	list := []*domain{}
@@ -176,7 +187,7 @@
 }
 
 // work makes one decision and carries it out.
-func (c *Controller) work(ctx context.Context, w *worker, d *domain, domains int) {
+func (c *Controller) work(ctx context.Context, w *worker, d *domain, domains []*domain) {
 	if w.ownedAt.IsZero() {
 		w.ownedAt = time.Now()
 		w.reachedAt = w.ownedAt
@@ -285,7 +296,7 @@
 	}
 }
 
-func (c *Controller) input(w *worker, d *domain, domains int) *Input {
+func (c *Controller) input(w *worker, d *domain, domains []*domain) *Input {
 	now := time.Now()
 	listed := map[string]bool{}
 	for _, r := range d.runners {
@@ -313,7 +324,7 @@
 			w.gone[r.Name] = now
 		}
 	}
-	w.follow(d, now)
+	c.loading.Add(-int64(w.follow(d, now)))
 	loading := map[string]string{}
 	for id, l := range w.loading {
 		loading[id] = l.model
@@ -321,13 +332,16 @@
 	return &Input{
 		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
 		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Last: w.last, Loading: loading,
-		Loads: c.loadsLeft(w, d, now, domains), IsEarly: c.IsEarly(), IsCutOff: !isReached,
+		Filled: c.filled(d.service, domains),
+		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
 		ReachedFor: now.Sub(w.reachedAt),
 	}
 }
 
-// follow notes which loads are over and what each runner has served.
-func (w *worker) follow(d *domain, now time.Time) {
+// follow notes what each runner has served and which loads are over, and returns
+// how many those are.
+func (w *worker) follow(d *domain, now time.Time) int {
+	over := 0
 	listed := map[string]*tracker.Runner{}
 	for _, r := range d.runners {
 		listed[r.ID] = r
@@ -336,6 +350,7 @@
 		r, ok := listed[id]
 		if !ok || !needsLoad(r, l.model) || now.After(l.until) {
 			delete(w.loading, id)
+			over++
 		}
 	}
 	for _, a := range w.current.Replicas {
@@ -346,6 +361,7 @@
 			}
 		}
 	}
+	return over
 }
 
 // isReached reports whether at least one runner of a domain is listed and not
@@ -363,7 +379,11 @@
 // loads at once than the weight store serves at full speed would only slow each
 // other down.
 func (c *Controller) loadsLeft(w *worker, d *domain, now time.Time, domains int) int {
-	atOnce := max((d.service.Engine.LoadsAtOnce+domains/2)/max(domains, 1), 1) - len(w.loading)
+	own := int(c.loading.Load())
+	atOnce := max(d.service.Engine.LoadsAtOnce-own-c.LoadsElsewhere(), 0)
+	if len(w.loading) == 0 {
+		atOnce = max(atOnce, 1)
+	}
 	if c.IsEarly() {
 		return atOnce
 	}
@@ -380,6 +400,28 @@
 	return min(atOnce, int(c.LoadsPerWindow()/float64(max(domains, 1)))-len(kept))
 }
 
+// filled returns the share of the replicas of each model that should be there,
+// in all domains of a service, which are open.
+func (c *Controller) filled(service *matcher.Service, domains []*domain) map[string]float64 {
+	goal := map[string]int{}
+	for _, d := range domains {
+		if d.service.Name != service.Name {
+			continue
+		}
+		for name, n := range Goal(service.Engine.Models, len(d.runners)) {
+			goal[name] += n
+		}
+	}
+	filled := map[string]float64{}
+	for name, n := range goal {
+		filled[name] = float64(len(c.View().Targets(service.Name, name))) / float64(max(n, 1))
+	}
+	return filled
+}
+
+// Loading returns how many loads this node has under way.
+func (c *Controller) Loading() int { return int(c.loading.Load()) }
+
 // resendAfter is how long an order is not sent again, since the runner's entry
 // has to show its effect first.
 const resendAfter = 1200 * time.Millisecond
@@ -398,6 +440,7 @@
 		w.sent[k] = now
 		if o.Operation == Stage {
 			w.loads = append(w.loads, now)
+			c.loading.Add(1)
 			w.loading[o.Runner.ID] = load{model: o.Model, until: now.Add(c.loadTimeout(d, o.Model))}
 		}
 		wg.Go(func() {
@@ -429,6 +472,7 @@
 		w.loaded = false
 	case o.Operation == Stage && result != Begun && result != Done && result != NoAnswer:
 		delete(w.loading, o.Runner.ID)
+		c.loading.Add(-1)
 	case o.Operation == Leave && result == Done, o.Operation == Leave && result == Elsewhere:
 		w.left[o.Replica] = true
 	}
--- a/internal/fleet/former/stage.go
+++ b/internal/fleet/former/stage.go
@@ -7,6 +7,10 @@
 	"marjorammoor/internal/serving/tracker"
 )
 
+// unevenShare is by how much the shares of two models' replicas that are there
+// have to differ for the one to be much better off.
+const unevenShare = 0.15
+
 // stageAll has free runners load the weights that are needed next, as far as
 // loads may begin: first what a replica that is missing still lacks, then what
 // spares should hold.
@@ -43,8 +47,8 @@
 	taken  []string
 }
 
-// stageMissing starts one load for the model that lacks the least to form a
-// replica it should have.
+// stageMissing starts one load for a replica that should be there: of the model
+// that lacks most replicas in all domains, or else lacks the fewest loads here.
 func (s *stager) stageMissing(counts map[string]int) bool {
 	var best *matcher.Model
 	bestMissing := 0
@@ -54,27 +58,30 @@
 			continue
 		}
 		missing := m.Size - s.staged[m.Name]
-		if missing > 0 && missing <= s.idle(m, counts) && (best == nil || missing < bestMissing) {
+		if missing <= 0 || missing > len(s.candidates(m, counts)) {
+			continue
+		}
+		if best == nil || s.comesBefore(m, missing, best, bestMissing) {
 			best, bestMissing = m, missing
 		}
 	}
 	if best == nil {
 		return false
 	}
-	for _, x := range s.candidates(best, counts) {
-		s.load(x, best.Name)
-		return true
-	}
-	return false
+	s.load(s.candidates(best, counts)[0], best.Name)
+	return true
 }
 
-// idle counts the runners that could load a model.
-func (s *stager) idle(m *matcher.Model, counts map[string]int) int {
-	return len(s.candidates(m, counts))
+func (s *stager) comesBefore(x *matcher.Model, xMissing int, y *matcher.Model, yMissing int) bool {
+	if gap := s.in.Filled[x.Name] - s.in.Filled[y.Name]; gap < -unevenShare || gap > unevenShare {
+		return gap < 0
+	}
+	return xMissing < yMissing
 }
 
 // candidates returns the runners that could load a model: those that hold
-// nothing first, then those whose model has all the replicas it should have.
+// nothing first, then those whose model has all the replicas it should have or
+// is much better off.
 func (s *stager) candidates(m *matcher.Model, counts map[string]int) []*tracker.Runner {
 	empty, surplus := []*tracker.Runner{}, []*tracker.Runner{}
 	for _, x := range s.free {
@@ -83,7 +90,7 @@
 		case isLoading || slices.Contains(s.taken, x.ID) || !needsLoad(x, m.Name):
 		case len(x.Staged) == 0:
 			empty = append(empty, x)
-		case counts[x.Staged[0]] >= s.goal[x.Staged[0]]:
+		case counts[x.Staged[0]] >= s.goal[x.Staged[0]], s.in.Filled[x.Staged[0]] > s.in.Filled[m.Name]+unevenShare:
 			surplus = append(surplus, x)
 		}
 	}
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -116,6 +116,9 @@
 	Last map[string]string
 	// Loading is the model that a runner was ordered to stage and does not hold yet.
 	Loading map[string]string
+	// Filled is the share of the replicas of a model that should be there, in all
+	// domains, which are.
+	Filled map[string]float64
 	// Loads is how many runners may be ordered to stage weights now.
 	Loads int
 	// IsEarly says that no caller has come. Loads take little time then and are
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -323,6 +323,7 @@
 		Owns:           func(string, string) bool { return true },
 		Suspects:       w.suspects,
 		AnswersOthers:  func(string) bool { return false },
+		LoadsElsewhere: func() int { return 0 },
 		IsEarly:        func() bool { return time.Since(w.start) < 8*time.Second },
 		LoadsPerWindow: func() float64 { return 27 },
 		StallTime:      4 * time.Second,
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -164,7 +164,7 @@
 	}
 	n.former = &former.Controller{
 		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns,
-		Suspects: n.suspected, AnswersOthers: n.answersOthers, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
+		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
 	}
 }
 
@@ -251,6 +251,7 @@
 	b.InFlight, b.Suspects = n.balancer.Counts()
 	b.Doubts = n.former.Doubts()
 	b.Alive = n.doubted.answering()
+	b.Loads = n.former.Loading()
 }
 
 func (n *Node) receiveBeat(b *beater.Beat) {
@@ -273,6 +274,14 @@
 // answersOthers reports whether another node lately got an answer from a runner.
 func (n *Node) answersOthers(id string) bool { return n.doubted.answersOthers(id) }
 
+func (n *Node) loadsElsewhere() int {
+	loads := 0
+	for _, p := range n.beater.Live() {
+		loads += p.Loads
+	}
+	return loads
+}
+
 func (n *Node) noteSuspect(t balancer.Target, idle time.Duration) {
 	n.Log.Warn("target is suspected", "runner", t.ID, "replica", t.Replica, "model", t.Model, "idle_ms", idle.Milliseconds())
 	n.keepSuspect(t.ID)
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -63,6 +63,8 @@
 	Doubts map[string]string `cbor:"10,keyasint,omitempty"`
 	// Alive are runners that other nodes doubt and that answered the node.
 	Alive []string `cbor:"11,keyasint,omitempty"`
+	// Loads is how many loads of weights the node has ordered that are under way.
+	Loads int `cbor:"12,keyasint,omitempty"`
 }
 
 // Peer is another node as its last beat described it.
--- a/internal/serving/balancer/lane.go
+++ b/internal/serving/balancer/lane.go
@@ -10,7 +10,7 @@
 
 // maxWaiting bounds the requests of a lane that wait at one node. More could
 // not be served before they give up.
-const maxWaiting = 64
+const maxWaiting = 256
 
 var queueTimes = metrics.NewHistogram(`marjorammoor_place_wait_seconds`)
 
--- a/internal/serving/relayer/place.go
+++ b/internal/serving/relayer/place.go
@@ -13,9 +13,7 @@
 
 const (
 	// waitShare is the part of the time left that a request may wait for a place.
-	waitShare = 0.25
-	// maxWait bounds the wait for a place.
-	maxWait = 1200 * time.Millisecond
+	waitShare = 0.4
 )
 
 // place finds a target with room.
@@ -28,7 +26,7 @@
 	request := &balancer.Request{
 		Service: c.Service, Model: c.Model, Priority: c.Priority, Arrived: c.Arrived,
 		Objective: c.Arrived.Add(c.Route.TargetLatency),
-		GiveUp:    now.Add(min(maxWait, time.Duration(float64(left)*waitShare))),
+		GiveUp:    now.Add(time.Duration(float64(left) * waitShare)),
 		Tried:     c.tried,
 	}
 	p, err := r.Balancer.Acquire(ctx, request)
