Let spares wait in a group of their own, so that a replica is repaired in a second

Cause: a repaired replica waited 1.6 s for its spare to warm up, while the survivors needed 0.2 s. Change: a free VM joins a group of its own that never opens; its next join of that model takes 0.2 s. Ruled out: a risk to TWO, since that group's head is the VM itself and never open.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -26,6 +26,9 @@
 	// maxPause is the longest time between two decisions of a domain that is in
 	// reach. After a longer one its runners may just have come back.
 	maxPause = 2 * time.Second
+	// warmTimeout is after how long a spare is ordered again to join a group of
+	// its own.
+	warmTimeout = 8 * time.Second
 	// loadWindow is over which the store's bound on loads is kept, with a margin
 	// for the time that an order takes.
 	loadWindow = 5500 * time.Millisecond
@@ -83,6 +86,7 @@
 	silent   map[string]time.Time
 	last     map[string]string
 	loading  map[string]load
+	warming  map[string]time.Time
 	probed   time.Time
 	loads    []time.Time
 	ownedAt  time.Time
@@ -179,7 +183,7 @@
 		w = &worker{
 			since: map[string]time.Time{}, gone: map[string]time.Time{}, left: map[string]bool{},
 			sent: map[orderKey]time.Time{}, misses: map[string]int{}, dead: map[string]bool{},
-			silent: map[string]time.Time{}, last: map[string]string{}, loading: map[string]load{},
+			silent: map[string]time.Time{}, last: map[string]string{}, loading: map[string]load{}, warming: map[string]time.Time{},
 		}
 		c.workers[key] = w
 	}
@@ -329,9 +333,17 @@
 	for id, l := range w.loading {
 		loading[id] = l.model
 	}
+	warming := map[string]bool{}
+	for id, at := range w.warming {
+		if now.Sub(at) > warmTimeout {
+			delete(w.warming, id)
+			continue
+		}
+		warming[id] = true
+	}
 	return &Input{
 		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
-		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Last: w.last, Loading: loading,
+		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Last: w.last, Loading: loading, Warming: warming,
 		Filled: c.filled(d.service, domains),
 		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
 		ReachedFor: now.Sub(w.reachedAt),
@@ -353,6 +365,11 @@
 			over++
 		}
 	}
+	for _, r := range d.runners {
+		if isWarming(r) && r.Membership.State == tracker.MemberReady && len(r.Models) == 1 {
+			w.last[r.ID] = r.Models[0]
+		}
+	}
 	for _, a := range w.current.Replicas {
 		for _, m := range a.Members {
 			r, ok := listed[m.ID]
@@ -438,6 +455,9 @@
 			continue
 		}
 		w.sent[k] = now
+		if o.Operation == Join && o.Replica == warmName(o.Runner.ID) {
+			w.warming[o.Runner.ID] = now
+		}
 		if o.Operation == Stage {
 			w.loads = append(w.loads, now)
 			c.loading.Add(1)
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -53,6 +53,7 @@
 	free := d.free()
 	free = d.form(free)
 	d.stageAll(free)
+	d.warmAll(free)
 	return d.out
 }
 
--- a/internal/fleet/former/stage.go
+++ b/internal/fleet/former/stage.go
@@ -128,3 +128,33 @@
 	s.loads--
 	s.order(Order{Operation: Stage, Runner: Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime}, Model: model})
 }
+
+// warmAll has spares join a group of their own, which never opens. A VM whose
+// last group had a model joins a replica of it much sooner than one that only
+// holds the weights.
+func (d *decider) warmAll(free []*tracker.Runner) {
+	if _, joining := d.counts(); d.in.IsEarly && joining > 0 {
+		return
+	}
+	for _, x := range free {
+		_, isLoading := d.in.Loading[x.ID]
+		if isLoading || len(x.Staged) == 0 || d.in.Last[x.ID] == x.Staged[0] || d.in.Warming[x.ID] {
+			continue
+		}
+		if x.HasMembership && x.Membership.State == tracker.MemberJoining {
+			continue
+		}
+		m := Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime}
+		d.order(Order{
+			Operation: Join, Runner: m, Replica: warmName(x.ID), Epoch: d.out.Assignment.Epoch, Model: x.Staged[0], Members: []string{x.ID},
+		})
+	}
+}
+
+// warmName is the name of the group in which a spare waits.
+func warmName(id string) string { return "spare-" + id }
+
+// isWarming reports whether a runner waits in a group of its own.
+func isWarming(x *tracker.Runner) bool {
+	return x.HasMembership && x.Membership.Replica == warmName(x.ID)
+}
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -114,6 +114,8 @@
 	Silent map[string]time.Time
 	// Last is the model of the last replica that a runner was ready in.
 	Last map[string]string
+	// Warming are the spares that were just ordered to join a group of their own.
+	Warming map[string]bool
 	// Loading is the model that a runner was ordered to stage and does not hold yet.
 	Loading map[string]string
 	// Filled is the share of the replicas of a model that should be there, in all
