One node of each data center watches the store and feeds the others

Change: one node a data center watches and passes changes on in datagrams; beats say how complete and how old its copy is. A receiver takes that as true only since its own stamp that the beat echoes, so that a beat read late by a frozen node confirms nothing. A copy older than 1.2 s, or a gap, leads to a call of one's own. Beats to other data centers are fewer in large systems.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -54,6 +54,9 @@
 	// AnswersOthers reports whether another node lately got an answer from a
 	// runner that this node doubts.
 	AnswersOthers func(id string) bool
+	// StoreFailed, if set, is told of each call to the store that failed without
+	// the store's saying why.
+	StoreFailed func()
 	// LoadsElsewhere is how many loads other nodes have under way.
 	LoadsElsewhere func() int
 	// IsEarly says that no request has come yet, when loads are not bounded.
@@ -199,6 +202,7 @@
 	if !w.loaded {
 		if err := c.load(ctx, w, d); err != nil {
 			c.Log.Warn("cannot read the assignment", "domain", d.name, "error", err)
+			c.noteStoreFailed(err)
 			return
 		}
 	}
@@ -211,6 +215,7 @@
 	if out.Changed {
 		if err := c.store(ctx, w, d, out.Assignment); err != nil {
 			c.Log.Warn("cannot store the assignment", "domain", d.name, "revision", w.revision, "error", err)
+			c.noteStoreFailed(err)
 			w.loaded = false
 			return
 		}
@@ -223,6 +228,12 @@
 	c.send(ctx, w, d, out.Orders)
 }
 
+func (c *Controller) noteStoreFailed(err error) {
+	if c.StoreFailed != nil && !errors.Is(err, follower.ErrConflict) {
+		c.StoreFailed()
+	}
+}
+
 func (c *Controller) clock() time.Duration {
 	if c.Clock != nil {
 		return c.Clock()
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -25,7 +25,6 @@
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 	"marjorammoor/internal/serving/tracker"
-	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/sharder"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/timing/repeater"
@@ -80,6 +79,7 @@
 	suspectsMu  sync.Mutex
 	suspects    map[string]time.Time
 	returnUntil atomic.Int64
+	storeFailed atomic.Int64
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -156,15 +156,19 @@
 		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
 		Replace: n.replaceRunners, Update: n.updateRunners,
 	}
+	for _, f := range []*follower.Follower{n.catalogs, n.runners} {
+		f.IsFed = func() bool { return n.isFed(f) }
+		f.Published = n.publish
+	}
 	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: s.RevocationTimeout}
-	n.beater = &beater.Beater{Self: s.Name, Fill: n.fillBeat, Received: n.receiveBeat, Log: n.Log}
+	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillBeat, Received: n.receiveBeat, Changed: n.takeChanges, Log: n.Log}
 	n.announcer = &announcer.Announcer{
 		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
 		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
 	}
 	n.former = &former.Controller{
 		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns,
-		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
+		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, StoreFailed: n.noteStoreFailed, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
 	}
 }
 
@@ -206,32 +210,6 @@
 	return rate * n.Settings.LoadWindow.Seconds() * n.Settings.LoadOvershoot
 }
 
-// owns reports whether this node works on a domain. Nodes that do not reach
-// the store cannot; those of the domain's data center come first, because they
-// reach its runners while the data center is cut off from the others.
-func (n *Node) owns(domain, dataCenter string) bool {
-	if n.stopping.Load() || n.catalogs.Age() > storeAge || n.runners.Age() > storeAge {
-		return false
-	}
-	near, far := []string{}, []string{n.Settings.Name}
-	if n.Settings.DataCenter == dataCenter {
-		near = append(near, n.Settings.Name)
-	}
-	for _, p := range n.beater.Live() {
-		if !p.HasStore || p.Leaving {
-			continue
-		}
-		far = append(far, p.Node)
-		if p.DataCenter == dataCenter {
-			near = append(near, p.Node)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	return ranker.First(domain, near) == n.Settings.Name
-}
-
 // budget returns the budget of repeated sends of a service. The nodes divide it
 // evenly.
 func (n *Node) budget(service string) *retrier.Budget {
@@ -244,27 +222,6 @@
 	})
 }
 
-func (n *Node) fillBeat(b *beater.Beat) {
-	b.DataCenter = n.Settings.DataCenter
-	b.Leaving = n.stopping.Load()
-	b.HasStore = n.catalogs.Age() < storeAge && n.runners.Age() < storeAge
-	b.InFlight, b.Suspects = n.balancer.Counts()
-	b.Doubts = n.former.Doubts()
-	b.Alive = n.doubted.answering()
-	b.Loads = n.former.Loading()
-}
-
-func (n *Node) receiveBeat(b *beater.Beat) {
-	n.balancer.SetPeer(b.Node, b.InFlight)
-	for _, id := range b.Suspects {
-		n.keepSuspect(id)
-		n.balancer.Suspect(id)
-	}
-	n.balancer.Changed()
-	n.doubted.note(b.Alive)
-	n.doubted.try(b.Doubts, n.probe)
-}
-
 func (n *Node) probe(id, address string) bool {
 	ctx, stop := context.WithTimeout(context.Background(), doubtTimeout)
 	defer stop()
--- /dev/null
+++ b/internal/node/server/peers.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"time"
+
+	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/state/ranker"
+	"marjorammoor/internal/store/follower"
+)
+
+const (
+	// fedAge is up to which age a copy that another node keeps current is
+	// trusted to stay so. Above it the node asks the store itself.
+	fedAge = 1200 * time.Millisecond
+	// storeFailedFor is how long a node whose call to the store failed leaves
+	// work that needs the store to others.
+	storeFailedFor = 2 * time.Second
+	// watchKey is what nodes are ranked by to name the one that watches.
+	watchKey = "watch"
+)
+
+// hasStore reports whether this node reaches the store, as far as it knows.
+func (n *Node) hasStore() bool {
+	failed := follower.Now()-time.Duration(n.storeFailed.Load()) < storeFailedFor && n.storeFailed.Load() > 0
+	return !failed && n.catalogs.Age() < storeAge && n.runners.Age() < storeAge
+}
+
+func (n *Node) noteStoreFailed() { n.storeFailed.Store(int64(follower.Now())) }
+
+// near returns the live nodes of a data center that reach the store.
+func (n *Node) near(dataCenter string, live []beater.Peer) []string {
+	names := []string{}
+	if n.Settings.DataCenter == dataCenter && n.hasStore() && !n.stopping.Load() {
+		names = append(names, n.Settings.Name)
+	}
+	for _, p := range live {
+		if p.DataCenter == dataCenter && p.HasStore && !p.Leaving {
+			names = append(names, p.Node)
+		}
+	}
+	return names
+}
+
+// owns reports whether this node works on a domain. Nodes that do not reach
+// the store cannot; those of the domain's data center come first, because they
+// reach its runners while the data center is cut off from the others.
+func (n *Node) owns(domain, dataCenter string) bool {
+	if n.stopping.Load() || !n.hasStore() {
+		return false
+	}
+	live := n.beater.Live()
+	names := n.near(dataCenter, live)
+	if len(names) == 0 {
+		names = append(names, n.Settings.Name)
+		for _, p := range live {
+			if p.HasStore && !p.Leaving {
+				names = append(names, p.Node)
+			}
+		}
+	}
+	return ranker.First(domain, names) == n.Settings.Name
+}
+
+// isFed reports whether another node of this data center watches the store for
+// this one. A copy that grows old nevertheless is kept by this node itself.
+func (n *Node) isFed(f *follower.Follower) bool {
+	if f.Age() > fedAge {
+		return false
+	}
+	names := n.near(n.Settings.DataCenter, n.beater.Live())
+	return ranker.First(watchKey, names) != n.Settings.Name
+}
+
+// isWatcher reports whether this node watches the store for its data center.
+func (n *Node) isWatcher() bool {
+	return ranker.First(watchKey, n.near(n.Settings.DataCenter, n.beater.Live())) == n.Settings.Name
+}
+
+// publish passes on what a watch has found. Configurations are left out: they
+// are large and rare, and a beat tells that there is a new one.
+func (n *Node) publish(c follower.Changes) {
+	if c.Kind == n.Ports.RunnerKind && n.isWatcher() {
+		n.beater.Publish(c)
+	}
+}
+
+func (n *Node) takeChanges(c follower.Changes) {
+	if c.Kind == n.Ports.RunnerKind {
+		n.runners.Offer(c)
+	}
+}
+
+// fillBeat sets what the others are told.
+func (n *Node) fillBeat(b *beater.Beat, dataCenter string, limited bool) {
+	b.Leaving = n.stopping.Load()
+	b.HasStore = n.hasStore()
+	b.InFlight, b.Suspects = n.balancer.Counts()
+	if limited {
+		n.limit(b, dataCenter)
+	}
+	b.Doubts = n.former.Doubts()
+	b.Alive = n.doubted.answering()
+	b.Loads = n.former.Loading()
+	if dataCenter == n.Settings.DataCenter && n.isWatcher() {
+		b.Copies = map[string]follower.Copy{n.Ports.CatalogKind: n.catalogs.Copy(), n.Ports.RunnerKind: n.runners.Copy()}
+	}
+}
+
+// limit leaves out the requests in flight at runners of other data centers.
+func (n *Node) limit(b *beater.Beat, dataCenter string) {
+	view := n.tracker.View()
+	for id := range b.InFlight {
+		if r, ok := view.Runners[id]; !ok || r.DataCenter != dataCenter {
+			delete(b.InFlight, id)
+		}
+	}
+}
+
+func (n *Node) receiveBeat(b *beater.Beat) {
+	n.balancer.SetPeer(b.Node, b.InFlight)
+	for _, id := range b.Suspects {
+		n.keepSuspect(id)
+		n.balancer.Suspect(id)
+	}
+	n.balancer.Changed()
+	n.doubted.note(b.Alive)
+	n.doubted.try(b.Doubts, n.probe)
+	if b.Echo == 0 {
+		return
+	}
+	for kind, c := range b.Copies {
+		when := time.Duration(b.Echo) - time.Duration(c.AgeMS)*time.Millisecond
+		switch kind {
+		case n.Ports.CatalogKind:
+			n.catalogs.Confirm(c, when)
+		case n.Ports.RunnerKind:
+			n.runners.Confirm(c, when)
+		}
+	}
+}
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -15,16 +15,19 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
+	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/timing/repeater"
 )
 
@@ -36,6 +39,20 @@
 	// forgetAfter is when a silent node is no longer sent to.
 	forgetAfter = 60 * time.Second
 	maxDatagram = 60 << 10
+	// nodesPerRemoteBeat is for how many nodes one more beat is left out
+	// between two that go to other data centers.
+	nodesPerRemoteBeat = 20
+	// manyNodes is above how many nodes a beat to another data center tells only
+	// of the runners there.
+	manyNodes = 12
+)
+
+// The kinds of datagrams, which are their first byte.
+const (
+	beatKind    = 1
+	changesKind = 2
+	// echoBytes is the length of the echo that comes before a beat.
+	echoBytes = 8
 )
 
 var (
@@ -65,6 +82,14 @@
 	Alive []string `cbor:"11,keyasint,omitempty"`
 	// Loads is how many loads of weights the node has ordered that are under way.
 	Loads int `cbor:"12,keyasint,omitempty"`
+	// Stamp is when the beat was sent, on the sender's own clock.
+	Stamp int64 `cbor:"13,keyasint"`
+	// Copies describe the node's copies of the store's objects by kind, if it
+	// watches the store itself.
+	Copies map[string]follower.Copy `cbor:"14,keyasint,omitempty"`
+	// Echo is the last stamp of the receiver that the sender had seen. What the
+	// beat says was true after that moment on the receiver's clock.
+	Echo int64 `cbor:"-"`
 }
 
 // Peer is another node as its last beat described it.
@@ -78,12 +103,18 @@
 	Self string
 	// Interval is the time between two beats; 0 means DefaultInterval.
 	Interval time.Duration
-	// Fill sets the facts of the next beat.
-	Fill func(b *Beat)
+	// DataCenter is this node's data center.
+	DataCenter string
+	// Fill sets the facts of the next beat to a data center. If it is limited, it
+	// tells only of requests in flight at runners there.
+	Fill func(b *Beat, dataCenter string, limited bool)
 	// Received is told of each beat that is newer than the last of its node.
 	Received func(b *Beat)
-	Log      *slog.Logger
+	// Changed is told of changes in the store that another node passes on.
+	Changed func(c follower.Changes)
+	Log     *slog.Logger
 
+	conn     atomic.Pointer[net.UDPConn]
 	mu       sync.Mutex
 	sequence uint64
 	start    int64
@@ -143,6 +174,7 @@
 		return fmt.Errorf("listen for beats: %w", err)
 	}
 	b.start = time.Now().UnixMilli()
+	b.conn.Store(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	go b.receive(conn)
@@ -154,40 +186,104 @@
 	return nil
 }
 
+// destination is a node to which a datagram goes.
+type destination struct {
+	address    *net.UDPAddr
+	dataCenter string
+	stamp      int64
+}
+
 func (b *Beater) send(conn *net.UDPConn) {
-	beat := Beat{Node: b.Self, Address: conn.LocalAddr().String(), Start: b.start}
-	b.Fill(&beat)
+	to, sequence := b.destinations()
+	skip := uint64(1 + len(to)/nodesPerRemoteBeat)
+	encoded := map[string][]byte{}
+	for _, d := range to {
+		isRemote := d.dataCenter != "" && d.dataCenter != b.DataCenter
+		if isRemote && sequence%skip != 0 {
+			continue
+		}
+		message, ok := encoded[d.dataCenter]
+		if !ok {
+			message = b.encode(conn, d.dataCenter, sequence, isRemote && len(to) > manyNodes)
+			encoded[d.dataCenter] = message
+		}
+		binary.BigEndian.PutUint64(message[1:], uint64(d.stamp))
+		b.write(conn, message, d.address)
+	}
+}
+
+// destinations returns the nodes to send to and the next beat's number.
+func (b *Beater) destinations() ([]destination, uint64) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.sequence++
-	beat.Sequence = b.sequence
-	to := make([]*net.UDPAddr, 0, len(b.addrs))
+	to := make([]destination, 0, len(b.addrs))
 	for name, a := range b.addrs {
+		d := destination{address: a}
 		seen := b.added[name]
-		if p, ok := b.peers[name]; ok && p.SeenAt.After(seen) {
-			seen = p.SeenAt
+		if p, ok := b.peers[name]; ok {
+			d.dataCenter, d.stamp = p.DataCenter, p.Stamp
+			if p.SeenAt.After(seen) {
+				seen = p.SeenAt
+			}
 		}
 		if time.Since(seen) > forgetAfter {
 			delete(b.addrs, name)
 			continue
 		}
-		to = append(to, a)
+		to = append(to, d)
 	}
-	b.mu.Unlock()
-	message, err := cbor.Marshal(&beat)
+	return to, b.sequence
+}
+
+// encode returns a datagram with room for the echo.
+func (b *Beater) encode(conn *net.UDPConn, dataCenter string, sequence uint64, limited bool) []byte {
+	beat := Beat{
+		Node: b.Self, Address: conn.LocalAddr().String(), DataCenter: b.DataCenter, Start: b.start,
+		Sequence: sequence, Stamp: int64(follower.Now()),
+	}
+	b.Fill(&beat, dataCenter, limited)
+	body, err := cbor.Marshal(&beat)
 	if err != nil {
 		badDatagrams.Inc()
 		b.Log.Error("cannot encode a beat", "error", err)
+	}
+	message := make([]byte, 1+echoBytes, 1+echoBytes+len(body))
+	message[0] = beatKind
+	return append(message, body...)
+}
+
+// Publish passes changes in the store on to the nodes of this data center.
+func (b *Beater) Publish(c follower.Changes) {
+	conn := b.conn.Load()
+	body, err := cbor.Marshal(&c)
+	if err != nil || conn == nil || len(body) >= maxDatagram {
+		// The others learn from the next beat that they have missed something.
+		badDatagrams.Inc()
 		return
 	}
-	for _, a := range to {
-		if _, err := conn.WriteToUDP(message, a); err != nil {
-			badDatagrams.Inc()
-			continue
+	message := append([]byte{changesKind}, body...)
+	b.mu.Lock()
+	to := []*net.UDPAddr{}
+	for name, p := range b.peers {
+		if a, ok := b.addrs[name]; ok && p.DataCenter == b.DataCenter && time.Since(p.SeenAt) < liveFor {
+			to = append(to, a)
 		}
-		bytesSent.Add(len(message))
+	}
+	b.mu.Unlock()
+	for _, a := range to {
+		b.write(conn, message, a)
 	}
 }
 
+func (b *Beater) write(conn *net.UDPConn, message []byte, to *net.UDPAddr) {
+	if _, err := conn.WriteToUDP(message, to); err != nil {
+		badDatagrams.Inc()
+		return
+	}
+	bytesSent.Add(len(message))
+}
+
 func (b *Beater) receive(conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -195,20 +291,50 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
+		if err != nil || n == 0 {
 			badDatagrams.Inc()
 			continue
 		}
 		bytesReceived.Add(n)
-		beat := &Beat{}
-		if err := cbor.Unmarshal(buffer[:n], beat); err != nil || beat.Node == "" {
+		if err := b.take(buffer[:n], from); err != nil {
 			badDatagrams.Inc()
-			continue
+			b.Log.Debug("a datagram cannot be read", "from", from.String(), "error", err)
 		}
+	}
+}
+
+var errBadDatagram = errors.New("not a datagram of a node")
+
+// take reads one datagram.
+func (b *Beater) take(message []byte, from *net.UDPAddr) error {
+	switch {
+	case message[0] == beatKind && len(message) > 1+echoBytes:
+		beat := &Beat{}
+		if err := cbor.Unmarshal(message[1+echoBytes:], beat); err != nil {
+			return fmt.Errorf("decode a beat: %w", err)
+		}
+		if beat.Node == "" {
+			return errBadDatagram
+		}
+		beat.Echo = int64(binary.BigEndian.Uint64(message[1:]))
 		if b.note(beat, from) && b.Received != nil {
 			b.Received(beat)
 		}
+	case message[0] == changesKind:
+		c := follower.Changes{}
+		if err := cbor.Unmarshal(message[1:], &c); err != nil {
+			return fmt.Errorf("decode changes: %w", err)
+		}
+		for i := range c.Objects {
+			c.Objects[i].Kind = c.Kind
+		}
+		if b.Changed != nil {
+			b.Changed(c)
+		}
+	default:
+		return errBadDatagram
 	}
+	return nil
 }
 
 // note keeps a beat and reports whether it is news.
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -21,6 +21,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,17 +46,21 @@
 	// callSlack is how much longer than the store's own wait a watch may take.
 	callSlack   = 700 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
-	minBackoff  = 50 * time.Millisecond
-	maxBackoff  = 400 * time.Millisecond
+	// fedPause is how often a follower that is fed looks whether it still is.
+	fedPause = 20 * time.Millisecond
+	// regained is the age below which a copy counts as current again.
+	regained   = 500 * time.Millisecond
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
 )
 
 // Object is one object of the store.
 type Object struct {
-	Kind     string
-	Name     string
-	Revision int64
-	Spec     json.RawMessage
-	Deleted  bool
+	Kind     string          `cbor:"-"`
+	Name     string          `cbor:"1,keyasint"`
+	Revision int64           `cbor:"2,keyasint"`
+	Spec     json.RawMessage `cbor:"3,keyasint,omitempty"`
+	Deleted  bool            `cbor:"4,keyasint,omitempty"`
 }
 
 // Store are the calls to the store. Each returns an error that wraps one of
@@ -83,11 +88,17 @@
 type Follower struct {
 	Kind  string
 	Store *Store
-	// Replace receives the full list. since is how long the store had been out
-	// of reach.
+	// Replace receives the full list. outage is how long the copy had been
+	// unconfirmed.
 	Replace func(objects []Object, outage time.Duration)
 	// Update receives changes in order.
 	Update func(changes []Object)
+	// IsFed, if set, says that another node watches for this one. The follower
+	// then makes no calls unless it has missed something.
+	IsFed func() bool
+	// Published, if set, is told of what a watch of this node found, so that it
+	// can be passed on.
+	Published func(c Changes)
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
 	// MinInterval is the least time between two watches, which lets changes
@@ -95,8 +106,31 @@
 	MinInterval time.Duration
 	Log         *slog.Logger
 
+	mu        sync.Mutex
+	at        int64 // the store's revision up to which everything is known
+	changed   int64 // the revision of the last change, or a later one
+	revisions map[string]int64
 	confirmed atomic.Int64 // boot-time nanoseconds
-	lost      bool
+	behind    atomic.Bool
+	lost      atomic.Bool
+}
+
+// Changes are what a watch found after one revision and up to another.
+type Changes struct {
+	Kind    string   `cbor:"1,keyasint"`
+	Since   int64    `cbor:"2,keyasint"`
+	At      int64    `cbor:"3,keyasint"`
+	Objects []Object `cbor:"4,keyasint"`
+}
+
+// Copy describes a node's copy of a kind.
+type Copy struct {
+	// Changed is the revision of the last change that the copy has.
+	Changed int64 `cbor:"1,keyasint"`
+	// At is the store's revision up to which the copy is complete.
+	At int64 `cbor:"2,keyasint"`
+	// AgeMS is how long ago the copy was surely current, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint"`
 }
 
 // Now returns a clock that only rises and also counts suspended time.
@@ -120,6 +154,43 @@
 // At returns when the copy was surely current, on the clock of Now; 0 if never.
 func (f *Follower) At() time.Duration { return time.Duration(f.confirmed.Load()) }
 
+// Copy describes this node's copy.
+func (f *Follower) Copy() Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Copy{Changed: f.changed, At: f.at, AgeMS: f.Age().Milliseconds() + 1}
+}
+
+// Offer takes what another node's watch found.
+func (f *Follower) Offer(c Changes) {
+	f.mu.Lock()
+	if f.at == 0 || f.at < c.Since {
+		f.behind.Store(true)
+		f.mu.Unlock()
+		return
+	}
+	f.mu.Unlock()
+	f.update(c.Objects, c.At)
+}
+
+// Confirm takes another node's word that its copy was current at a moment, on
+// the clock of Now. It confirms this copy too unless something was missed.
+func (f *Follower) Confirm(c Copy, when time.Duration) {
+	f.mu.Lock()
+	isBehind := f.at < c.Changed
+	if f.at > 0 && !isBehind {
+		f.at = max(f.at, c.At)
+	}
+	isKnown := f.at > 0
+	f.mu.Unlock()
+	switch {
+	case isBehind:
+		f.behind.Store(true)
+	case isKnown:
+		f.confirm(when)
+	}
+}
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	failures := 0
@@ -129,8 +200,7 @@
 			return
 		}
 		metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_store_failures_total{kind=%q}`, f.Kind)).Inc()
-		if !f.lost && !errors.Is(err, ErrHistoryGone) {
-			f.lost = true
+		if !errors.Is(err, ErrHistoryGone) && !f.lost.Swap(true) {
 			f.Log.Warn("lost the store", "kind", f.Kind, "age_ms", f.Age().Milliseconds(), "error", err)
 		}
 		failures++
@@ -143,59 +213,112 @@
 
 // follow lists once and watches until a call fails.
 func (f *Follower) follow(ctx context.Context) error {
-	at, err := f.list(ctx)
-	if err != nil {
+	if err := f.list(ctx); err != nil {
 		return err
 	}
 	for {
 		started := time.Now()
-		next, err := f.watch(ctx, at)
-		if err != nil {
+		wait := f.Wait
+		if f.IsFed != nil && f.IsFed() {
+			if !f.behind.Swap(false) {
+				if !repeater.Pause(ctx, fedPause) {
+					return ctx.Err()
+				}
+				continue
+			}
+			wait = time.Millisecond
+		}
+		if err := f.watch(ctx, wait); err != nil {
 			return err
 		}
-		at = next
 		if !repeater.Pause(ctx, f.MinInterval-time.Since(started)) {
 			return ctx.Err()
 		}
 	}
 }
 
-func (f *Follower) list(ctx context.Context) (int64, error) {
+func (f *Follower) list(ctx context.Context) error {
 	sent := Now()
 	outage := f.Age()
 	call, stop := context.WithTimeout(ctx, listTimeout)
 	defer stop()
 	objects, at, err := f.Store.List(call, f.Kind, false)
 	if err != nil {
-		return 0, fmt.Errorf("list %s: %w", f.Kind, err)
+		return fmt.Errorf("list %s: %w", f.Kind, err)
+	}
+	f.mu.Lock()
+	if at < f.at {
+		f.mu.Unlock()
+		return fmt.Errorf("list %s: revision %d is older than %d", f.Kind, at, f.at)
+	}
+	f.at, f.changed = at, at
+	f.revisions = map[string]int64{}
+	for _, o := range objects {
+		f.revisions[o.Name] = o.Revision
 	}
 	f.Replace(objects, outage)
+	f.mu.Unlock()
 	f.confirm(sent)
-	return at, nil
+	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, since int64) (int64, error) {
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	since := f.at
+	f.mu.Unlock()
 	sent := Now()
-	call, stop := context.WithTimeout(ctx, f.Wait+callSlack)
+	call, stop := context.WithTimeout(ctx, wait+callSlack)
 	defer stop()
-	changes, at, err := f.Store.Watch(call, f.Kind, since, f.Wait)
+	changes, at, err := f.Store.Watch(call, f.Kind, since, wait)
 	if err != nil {
-		return 0, fmt.Errorf("watch %s: %w", f.Kind, err)
+		return fmt.Errorf("watch %s: %w", f.Kind, err)
+	}
+	f.update(changes, at)
+	if len(changes) == 0 {
+		// The store answers without changes only after it has waited.
+		f.confirm(min(sent+wait, Now()))
+		return nil
+	}
+	f.confirm(sent)
+	if f.Published != nil {
+		f.Published(Changes{Kind: f.Kind, Since: since, At: at, Objects: changes})
+	}
+	return nil
+}
+
+// update takes the changes that are newer than what is known of their objects.
+func (f *Follower) update(changes []Object, at int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at = max(f.at, at)
+	fresh := make([]Object, 0, len(changes))
+	for _, o := range changes {
+		// An object's removal may carry the revision of its last change.
+		known := f.revisions[o.Name]
+		if o.Revision < known || o.Revision == known && !o.Deleted {
+			continue
+		}
+		f.revisions[o.Name] = o.Revision
+		fresh = append(fresh, o)
 	}
-	if len(changes) > 0 {
-		f.Update(changes)
-		f.confirm(sent)
-		return at, nil
+	if len(fresh) > 0 {
+		f.changed = max(f.changed, at)
+		f.Update(fresh)
 	}
-	// The store answers without changes only after it has waited.
-	f.confirm(min(sent+f.Wait, Now()))
-	return at, nil
 }
 
+// confirm moves the moment at which the copy was surely current forward.
 func (f *Follower) confirm(at time.Duration) {
-	f.confirmed.Store(int64(at))
-	if f.lost {
-		f.lost = false
-		f.Log.Info("reached the store again", "kind", f.Kind)
+	for {
+		old := f.confirmed.Load()
+		if int64(at) <= old {
+			return
+		}
+		if f.confirmed.CompareAndSwap(old, int64(at)) {
+			break
+		}
+	}
+	if f.Age() < regained && f.lost.Swap(false) {
+		f.Log.Info("the copy is current again", "kind", f.Kind)
 	}
 }
