Give each fabric domain one model

Change: a domain serves one model, chosen when its assignment is created, by one node a data center, so that the models' parts follow their shares; any spare fits any replica, a replica of two needs no spare. Members of closing replicas count when loads are planned.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -26,6 +26,9 @@
 	// maxPause is the longest time between two decisions of a domain that is in
 	// reach. After a longer one its runners may just have come back.
 	maxPause = 2 * time.Second
+	// settleTime is for how long the number of domains has to stay the same
+	// before a domain is taken over.
+	settleTime = 300 * time.Millisecond
 	// warmTimeout is after how long a spare is ordered again to join a group of
 	// its own.
 	warmTimeout = 8 * time.Second
@@ -49,6 +52,9 @@
 	Probe func(ctx context.Context, m Member) bool
 	// Owns says whether this node works on a domain of a data center.
 	Owns func(domain, dataCenter string) bool
+	// Creates says whether this node creates the assignments of new domains of a
+	// data center.
+	Creates func(dataCenter string) bool
 	// Suspects returns the IDs of heads that some node has seen stand still.
 	Suspects func() map[string]bool
 	// AnswersOthers reports whether another node lately got an answer from a
@@ -67,11 +73,17 @@
 	StallTime      time.Duration
 	Log            *slog.Logger
 
-	mu       sync.Mutex
-	workers  map[string]*worker
-	doubtsMu sync.Mutex
-	doubts   map[string]doubt
-	loading  atomic.Int64
+	mu      sync.Mutex
+	workers map[string]*worker
+	// domainCount is how many domains were listed since domainsAt.
+	domainCount int
+	domainsAt   time.Time
+	// created are the names of the assignments that are known to exist.
+	created   map[string]bool
+	createdAt time.Time
+	doubtsMu  sync.Mutex
+	doubts    map[string]doubt
+	loading   atomic.Int64
 }
 
 // worker is what is known about one domain.
@@ -100,6 +112,8 @@
 	// readAt is when the assignment was read. A view that is older may lack what
 	// the assignment's last writer saw, and must not be compared with it.
 	readAt time.Duration
+	// triedAt is when reading the assignment was last tried.
+	triedAt time.Time
 }
 
 // load is an order to stage weights that may still be carried out.
@@ -128,6 +142,7 @@
 // background; a domain that is still being worked on is passed over.
 func (c *Controller) Step(ctx context.Context) {
 	domains := c.domains()
+	c.createMissing(ctx, domains)
 	for _, d := range domains {
 		w := c.worker(d)
 		if !c.Owns(d.name, d.dataCenter) {
@@ -200,13 +215,17 @@
 		w.reachedAt = w.ownedAt
 	}
 	if !w.loaded {
+		if time.Since(w.triedAt) < createInterval {
+			return
+		}
+		w.triedAt = time.Now()
 		if err := c.load(ctx, w, d); err != nil {
 			c.Log.Warn("cannot read the assignment", "domain", d.name, "error", err)
 			c.noteStoreFailed(err)
 			return
 		}
 	}
-	if c.ViewAt() < w.readAt {
+	if !w.loaded || c.ViewAt() < w.readAt {
 		return
 	}
 	c.probe(ctx, w)
@@ -247,18 +266,17 @@
 	call, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
 	o, err := c.Store.Get(call, Kind, objectName(d))
-	fresh := Assignment{Service: d.service.Name, Domain: d.name}
+	fresh := Assignment{}
 	switch {
 	case errors.Is(err, follower.ErrNotFound):
-		w.revision = 0
+		return nil
 	case err != nil:
 		return fmt.Errorf("get %s: %w", objectName(d), err)
-	default:
-		if err := json.Unmarshal(o.Spec, &fresh); err != nil {
-			return fmt.Errorf("decode %s: %w", objectName(d), err)
-		}
-		w.revision = o.Revision
 	}
+	if err := json.Unmarshal(o.Spec, &fresh); err != nil {
+		return fmt.Errorf("decode %s: %w", objectName(d), err)
+	}
+	w.revision = o.Revision
 	w.current, w.loaded, w.readAt = fresh, true, c.clock()
 	c.Log.Info("assignment is read", "domain", d.name, "revision", w.revision, "epoch", fresh.Epoch, "replicas", len(fresh.Replicas))
 	w.keepTimes(fresh)
@@ -274,11 +292,7 @@
 	call, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
 	o := follower.Object{Kind: Kind, Name: objectName(d), Revision: w.revision, Spec: b}
-	write := c.Store.Replace
-	if w.revision == 0 {
-		write = c.Store.Create
-	}
-	revision, err := write(call, o)
+	revision, err := c.Store.Replace(call, o)
 	if err != nil {
 		return fmt.Errorf("write %s: %w", o.Name, err)
 	}
@@ -436,7 +450,7 @@
 		if d.service.Name != service.Name {
 			continue
 		}
-		for name, n := range Goal(service.Engine.Models, len(d.runners)) {
+		for name, n := range mixedGoal(service.Engine.Models, len(d.runners)) {
 			goal[name] += n
 		}
 	}
--- /dev/null
+++ b/internal/fleet/former/create.go
@@ -0,0 +1,96 @@
+package former
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"marjorammoor/internal/store/follower"
+)
+
+// createInterval is the least time between two looks for domains without an
+// assignment.
+const createInterval = 300 * time.Millisecond
+
+// createMissing creates the assignments of new domains, in the data centers in
+// which this node does so. That one node does it for a whole data center keeps
+// the models' parts of its domains even.
+func (c *Controller) createMissing(ctx context.Context, domains []*domain) {
+	missing := []*domain{}
+	for _, d := range domains {
+		if !c.created[objectName(d)] && c.Creates(d.dataCenter) {
+			missing = append(missing, d)
+		}
+	}
+	if len(missing) == 0 || time.Since(c.createdAt) < createInterval || c.isSettling(len(domains)) {
+		return
+	}
+	c.createdAt = time.Now()
+	if err := c.create(ctx, domains, missing); err != nil {
+		c.Log.Warn("cannot create assignments yet", "domains", len(missing), "error", err)
+		c.noteStoreFailed(err)
+	}
+}
+
+// isSettling reports whether the domains have only begun to be listed.
+func (c *Controller) isSettling(domains int) bool {
+	if domains != c.domainCount {
+		c.domainCount, c.domainsAt = domains, time.Now()
+	}
+	return time.Since(c.domainsAt) < settleTime
+}
+
+func (c *Controller) create(ctx context.Context, domains, missing []*domain) error {
+	call, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	objects, _, err := c.Store.List(call, Kind, false)
+	if err != nil {
+		return fmt.Errorf("list assignments: %w", err)
+	}
+	here, everywhere := map[string]map[string]int{}, map[string]int{}
+	c.created = map[string]bool{}
+	for _, o := range objects {
+		a := Assignment{}
+		if err := json.Unmarshal(o.Spec, &a); err != nil {
+			return fmt.Errorf("decode %s: %w", o.Name, err)
+		}
+		c.created[o.Name] = true
+		count(here, everywhere, a.DataCenter, a.Model)
+	}
+	for _, d := range missing {
+		if c.created[objectName(d)] {
+			continue
+		}
+		a := Assignment{Service: d.service.Name, Domain: d.name, DataCenter: d.dataCenter}
+		a.Model = chooseModel(d.service.Engine.Models, len(domains), here[d.dataCenter], everywhere)
+		if err := c.createOne(call, d, a); err != nil {
+			return err
+		}
+		c.created[objectName(d)] = true
+		count(here, everywhere, a.DataCenter, a.Model)
+		c.Log.Info("assignment is created", "domain", d.name, "model", a.Model)
+	}
+	return nil
+}
+
+func (c *Controller) createOne(ctx context.Context, d *domain, a Assignment) error {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", objectName(d), err)
+	}
+	_, err = c.Store.Create(ctx, follower.Object{Kind: Kind, Name: objectName(d), Spec: b})
+	if err != nil && !errors.Is(err, follower.ErrConflict) {
+		return fmt.Errorf("create %s: %w", objectName(d), err)
+	}
+	return nil
+}
+
+func count(here map[string]map[string]int, everywhere map[string]int, dataCenter, model string) {
+	if here[dataCenter] == nil {
+		here[dataCenter] = map[string]int{}
+	}
+	here[dataCenter][model]++
+	everywhere[model]++
+}
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -18,8 +18,6 @@
 	// returnTime is within how long the runners of a domain that was cut off are
 	// listed again. Until then one that is missing may still be serving.
 	returnTime = 3 * time.Second
-	// spareShare is the part of a domain's runners that is kept as spares.
-	spareShare = 0.2
 )
 
 // decider holds the working state of one decision.
@@ -250,7 +248,7 @@
 			available++
 		}
 	}
-	d.goal = Goal(d.in.Engine.Models, available)
+	d.goal = d.out.Assignment.goal(d.in.Engine.Models, available)
 	for {
 		counts, joining := d.counts()
 		if d.in.IsEarly && joining > 0 {
@@ -306,30 +304,6 @@
 	}
 }
 
-// Goal returns how many replicas of each model a domain with some runners
-// should have: the runners but for some spares, divided by the models' shares.
-func Goal(models []matcher.Model, runners int) map[string]int {
-	goal := map[string]int{}
-	left := runners - int(float64(runners)*spareShare)
-	for {
-		best, bestUse := -1, 0.0
-		for i, m := range models {
-			if m.Size > left || m.InitialShare <= 0 {
-				continue
-			}
-			use := float64(goal[m.Name]*m.Size) / m.InitialShare
-			if best < 0 || use < bestUse {
-				best, bestUse = i, use
-			}
-		}
-		if best < 0 {
-			return goal
-		}
-		goal[models[best].Name]++
-		left -= models[best].Size
-	}
-}
-
 // cost ranks how soon a runner can serve a model.
 func (d *decider) cost(x *tracker.Runner, m *matcher.Model) int {
 	switch {
--- a/internal/fleet/former/stage.go
+++ b/internal/fleet/former/stage.go
@@ -22,7 +22,7 @@
 	if d.in.IsEarly && joining > 0 {
 		return
 	}
-	s := &stager{decider: d, free: free, staged: map[string]int{}}
+	s := &stager{decider: d, free: free, staged: d.closingMembers()}
 	for _, x := range free {
 		if model, ok := d.in.Loading[x.ID]; ok {
 			s.staged[model]++
@@ -39,6 +39,24 @@
 	}
 }
 
+// closingMembers counts, by the model they hold, the VMs that will be free once
+// the replica they are in has closed.
+func (d *decider) closingMembers() map[string]int {
+	n := map[string]int{}
+	for _, r := range d.out.Assignment.Replicas {
+		if r.State != Closing {
+			continue
+		}
+		for _, m := range r.Members {
+			x, ok := d.runners[m.ID]
+			if ok && x.State == tracker.Ready && x.BootTime == m.BootTime && !d.in.Dead[m.ID] && !needsLoad(x, r.Model) {
+				n[r.Model]++
+			}
+		}
+	}
+	return n
+}
+
 // stager gives loads to free runners.
 type stager struct {
 	*decider
@@ -109,16 +127,25 @@
 	return false
 }
 
-// scarcest returns the model with the fewest staged spares for the VMs that its
-// replicas need.
+// scarcest returns the model of the domain, or the one with the fewest staged
+// spares for the VMs that its replicas need.
 func (s *stager) scarcest() string {
+	if s.out.Assignment.Model != "" {
+		return s.out.Assignment.Model
+	}
 	best, bestRatio := "", 0.0
 	for _, m := range s.in.Engine.Models {
+		if s.goal[m.Name] == 0 {
+			continue
+		}
 		ratio := float64(s.staged[m.Name]) / float64(m.Size)
 		if best == "" || ratio < bestRatio {
 			best, bestRatio = m.Name, ratio
 		}
 	}
+	if best == "" {
+		return s.in.Engine.Models[0].Name
+	}
 	return best
 }
 
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -38,10 +38,14 @@
 
 // Assignment is the stored state of a domain.
 type Assignment struct {
-	Service  string    `json:"service"`
-	Domain   string    `json:"domain"`
-	Epoch    int64     `json:"epoch"`
-	Replicas []Replica `json:"replicas"`
+	Service    string    `json:"service"`
+	Domain     string    `json:"domain"`
+	DataCenter string    `json:"data_center"`
+	Epoch      int64     `json:"epoch"`
+	Replicas   []Replica `json:"replicas"`
+	// Model is the model that the domain serves. Empty means all models of the
+	// service.
+	Model string `json:"model,omitempty"`
 }
 
 // Operation is what a runner is ordered to do.
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -55,7 +55,9 @@
 	rank    int
 	members []string
 	part    tracker.MemberState
-	seen    map[string]bool // name:epoch under which it was ready
+	// seen are the replicas and epochs under which it was ready; a later loss of
+	// such a member is allowed.
+	seen    map[string]bool
 	fence   int64
 	maxSeen int64
 	gone    time.Time
@@ -272,6 +274,14 @@
 	}
 	return &follower.Store{
 		Create: write, Replace: write,
+		List: func(context.Context, string, bool) ([]follower.Object, int64, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.revision == 0 {
+				return nil, 0, nil
+			}
+			return []follower.Object{{Name: "pool--d0", Revision: w.revision, Spec: slices.Clone(w.object)}}, w.revision, nil
+		},
 		Get: func(context.Context, string, string) (follower.Object, error) {
 			time.Sleep(4 * time.Millisecond)
 			w.mu.Lock()
@@ -321,6 +331,7 @@
 			return ok
 		},
 		Owns:           func(string, string) bool { return true },
+		Creates:        func(string) bool { return true },
 		Suspects:       w.suspects,
 		AnswersOthers:  func(string) bool { return false },
 		LoadsElsewhere: func() int { return 0 },
@@ -398,7 +409,7 @@
 		time.Sleep(time.Duration(w.s.ReturnAfter * float64(time.Second)))
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		*v = vm{id: v.id, boot: time.Now().UnixMilli(), alive: true, state: tracker.Ready, listed: !w.cut, staged: v.staged, seen: map[string]bool{}}
+		*v = vm{id: v.id, boot: time.Now().UnixMilli(), alive: true, state: tracker.Ready, listed: !w.cut, staged: v.staged, seen: v.seen}
 	}()
 }
 
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -61,6 +61,10 @@
 	return ranker.First(domain, names) == n.Settings.Name
 }
 
+// creates reports whether this node creates the assignments of new domains of a
+// data center.
+func (n *Node) creates(dataCenter string) bool { return n.owns(dataCenter, dataCenter) }
+
 // isFed reports whether another node of this data center watches the store for
 // this one. A copy that grows old nevertheless is kept by this node itself.
 func (n *Node) isFed(f *follower.Follower) bool {
