--- /dev/null
+++ b/internal/network/requester/requester_test.go
@@ -0,0 +1,239 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// exchange is one entry of testdata/exchanges.json: requests one after the other
+// and what the server writes for each.
+type exchange struct {
+	Name        string `json:"name"`
+	Connections int64  `json:"connections"`
+	Requests    []struct {
+		ID      string   `json:"id"`
+		Answers []string `json:"answers"`
+		// Later is written after the answer has been read.
+		Later  string `json:"later"`
+		HangUp bool   `json:"hang_up"`
+		// Status is 0 if no answer is expected.
+		Status int    `json:"status"`
+		Body   string `json:"body"`
+		Cut    bool   `json:"cut"`
+		Sent   bool   `json:"sent"`
+	} `json:"requests"`
+}
+
+// serveExchange answers the requests of an exchange over all connections.
+func serveExchange(t *testing.T, x *exchange, opened *atomic.Int64, read <-chan struct{}) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	next := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go serveConn(c, x, next, read)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveConn(c net.Conn, x *exchange, next *atomic.Int64, read <-chan struct{}) {
+	defer c.Close() //nolint:errcheck
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		step := x.Requests[next.Add(1)-1]
+		for _, a := range step.Answers {
+			_, _ = io.WriteString(c, a)
+		}
+		if step.Later != "" {
+			<-read
+			_, _ = io.WriteString(c, step.Later)
+		}
+		if step.HangUp {
+			return
+		}
+	}
+}
+
+func TestExchanges(t *testing.T) {
+	b, err := os.ReadFile("testdata/exchanges.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []exchange{}
+	if err := json.Unmarshal(b, &list); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) { x.check(t) })
+	}
+}
+
+func (x *exchange) check(t *testing.T) {
+	opened, read := &atomic.Int64{}, make(chan struct{}, 8)
+	address := serveExchange(t, x, opened, read)
+	c := &Client{}
+	for _, step := range x.Requests {
+		ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+		answer, err := c.Do(ctx, &Request{
+			Method: http.MethodPost, Address: address, Target: "/x", Host: "h", Body: []byte("q"),
+			Header: http.Header{"X-Attempt": {step.ID}}, EchoHeader: "X-Attempt",
+		})
+		switch {
+		case step.Status == 0:
+			if err == nil {
+				t.Errorf("request %s was answered with %d", step.ID, answer.Status)
+			} else if MaySent(err) != step.Sent {
+				t.Errorf("request %s: sent is %t: %v", step.ID, MaySent(err), err)
+			}
+		case err != nil:
+			t.Errorf("request %s: %v", step.ID, err)
+		default:
+			body, err := io.ReadAll(answer.Body)
+			if answer.Status != step.Status || (err != nil) != step.Cut || !step.Cut && string(body) != step.Body {
+				t.Errorf("request %s: status %d, body %q, error %v", step.ID, answer.Status, body, err)
+			}
+			answer.Close()
+		}
+		stop()
+		read <- struct{}{}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if n := opened.Load(); n != x.Connections {
+		t.Errorf("%d connections, wanted %d", n, x.Connections)
+	}
+}
+
+// TestNotSent checks that a refused connection is known not to have carried a
+// byte.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = (&Client{}).Do(t.Context(), &Request{Method: "GET", Address: address, Target: "/", Host: "h"})
+	if err == nil || MaySent(err) {
+		t.Errorf("a refused connection counts as sent: %v", err)
+	}
+}
+
+// TestCancel checks that the server sees the end of the connection soon after
+// the caller has gone.
+func TestCancel(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, err = io.Copy(io.Discard, c)
+		ended <- err
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := (&Client{}).Do(ctx, &Request{Method: "GET", Address: l.Addr().String(), Target: "/", Host: "h"}); err == nil {
+		t.Fatal("answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(300 * time.Millisecond):
+		t.Error("the connection is still open")
+	}
+}
+
+// TestEarlyAnswer checks that an answer to a long request that the server has
+// not read is returned, and that the connection is not used again.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck
+	opened := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go func() {
+				_, _ = bufio.NewReaderSize(c, 16).ReadString('\n')
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			}()
+		}
+	}()
+	c := &Client{}
+	for range 2 {
+		ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+		answer, err := c.Do(ctx, &Request{Method: "POST", Address: l.Addr().String(), Target: "/", Host: "h", Body: make([]byte, 16<<20)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(answer.Body); err != nil && !errors.Is(err, io.EOF) {
+			t.Error(err)
+		}
+		answer.Close()
+		stop()
+	}
+	if n := opened.Load(); n != 2 {
+		t.Errorf("%d connections, wanted 2", n)
+	}
+}
+
+// FuzzAnswer feeds bytes of a server to the reader of answers. A complete body
+// must never be longer than what the server wrote.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(server))
+			_, _ = server.Write(wire)
+			_ = server.Close()
+		}()
+		c := &Client{Dial: func(context.Context, string) (net.Conn, error) { return client, nil }}
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		answer, err := c.Do(ctx, &Request{Method: "GET", Address: "x", Target: "/", Host: "h", Header: http.Header{"X-Attempt": {"a"}}, EchoHeader: "X-Attempt"})
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(answer.Body)
+		answer.Close()
+		if len(body) > len(wire) {
+			t.Errorf("%d bytes of body from %d bytes", len(body), len(wire))
+		}
+	})
+}
--- /dev/null
+++ b/internal/serving/balancer/balancer_test.go
@@ -0,0 +1,172 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// newBalancer returns a balancer over runners of a plain service, or of one-VM
+// replicas of a model.
+func newBalancer(model string, slots int, ids ...string) *Balancer {
+	tr := &tracker.Tracker{}
+	services := map[string]*matcher.Service{"s": {Name: "s"}}
+	if model != "" {
+		services["s"].Engine = &matcher.Engine{Models: []matcher.Model{{Name: model, Size: 1}}}
+	}
+	tr.SetServices(services)
+	list := []*tracker.Runner{}
+	for i, id := range ids {
+		r := &tracker.Runner{ID: id, Service: "s", Address: id, State: tracker.Ready, Slots: slots, DataCenter: "dc"}
+		if model != "" {
+			r.Models, r.HasMembership = []string{model}, true
+			r.Membership = tracker.Membership{Replica: id, Epoch: int64(i + 1), State: tracker.MemberOpen}
+		}
+		list = append(list, r)
+	}
+	tr.Replace(list, 0)
+	return &Balancer{View: tr.View, DataCenter: "dc"}
+}
+
+func request(model string, priority int, wait, objective time.Duration) *Request {
+	now := time.Now()
+	return &Request{Service: "s", Model: model, Priority: priority, Arrived: now, Objective: now.Add(objective), GiveUp: now.Add(wait)}
+}
+
+func acquire(t *testing.T, b *Balancer, r *Request) *Place {
+	t.Helper()
+	p, err := b.Acquire(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// TestSpread checks that requests go to the target with least in flight, also
+// by the word of other nodes, and that no target gets more than its slots.
+func TestSpread(t *testing.T) {
+	b := newBalancer("", 2, "a", "b")
+	b.SetPeer("other", map[string]int{"a": 2})
+	for range 2 {
+		if p := acquire(t, b, request("", 1, 0, time.Second)); p.Target.ID != "b" {
+			t.Fatalf("went to %s, which is full", p.Target.ID)
+		}
+	}
+	if _, err := b.Acquire(t.Context(), request("", 1, time.Millisecond, time.Second)); !errors.Is(err, ErrFull) {
+		t.Fatalf("error %v, wanted ErrFull", err)
+	}
+	b.SetPeer("other", map[string]int{"a": 1})
+	if p := acquire(t, b, request("", 1, 0, time.Second)); p.Target.ID != "a" {
+		t.Fatalf("went to %s, which is full", p.Target.ID)
+	}
+}
+
+// TestOrder checks the order in which waiting requests get places: those that
+// can still meet their objective first, then by priority, then by arrival.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("", 1, "a")
+		first := acquire(t, b, request("", 1, 0, time.Second))
+		got := make(chan string, 4)
+		wait := func(name string, priority int, objective time.Duration) {
+			go func() {
+				p, err := b.Acquire(t.Context(), request("", priority, time.Minute, objective))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				got <- name
+				time.Sleep(time.Millisecond)
+				p.Release()
+			}()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		wait("late", 0, 10*time.Millisecond)
+		wait("second", 2, time.Minute)
+		wait("third", 2, time.Minute)
+		wait("urgent", 1, time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		first.Release()
+		for _, want := range []string{"urgent", "second", "third", "late"} {
+			if name := <-got; name != want {
+				t.Errorf("%s was served, wanted %s", name, want)
+			}
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// TestStall checks that a target that sends nothing is suspected, that its
+// requests are told to move, and that others are sent elsewhere meanwhile.
+func TestStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("m", 8, "a", "b")
+		suspects := []string{}
+		b.Suspected = func(x Target, _ time.Duration) { suspects = append(suspects, x.ID) }
+		moved := map[string]int{}
+		places := []*Place{}
+		for range 6 {
+			p := acquire(t, b, request("m", 1, 0, time.Second))
+			p.OnMove(func(err error) {
+				if !errors.Is(err, ErrStalled) {
+					t.Error(err)
+				}
+				moved[p.Target.ID]++
+			})
+			places = append(places, p)
+		}
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range places {
+				if p.Target.ID == "b" {
+					p.Progress()
+				}
+			}
+			b.CheckStalls()
+		}
+		if len(suspects) != 1 || suspects[0] != "a" || moved["a"] == 0 || moved["b"] != 0 {
+			t.Errorf("suspects %v, moved %v", suspects, moved)
+		}
+		if p := acquire(t, b, request("m", 1, 0, time.Second)); p.Target.ID != "b" {
+			t.Errorf("a request went to %s", p.Target.ID)
+		}
+		b.Clear("a")
+		if p, ok := b.take(&lane{}, request("m", 1, 0, time.Second)); !ok || p.Target.ID != "a" {
+			t.Error("a target that started anew is still suspected")
+		}
+	})
+}
+
+// TestGone checks that a request whose caller has gone leaves the queue and
+// keeps no place.
+func TestGone(t *testing.T) {
+	b := newBalancer("", 1, "a")
+	first := acquire(t, b, request("", 1, 0, time.Second))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := b.Acquire(ctx, request("", 1, time.Minute, time.Minute))
+		done <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	first.Release()
+	acquire(t, b, request("", 1, 0, time.Second)).Release()
+}
+
+// TestNoTarget checks that a request for which nothing is there says so.
+func TestNoTarget(t *testing.T) {
+	b := newBalancer("m", 1, "a")
+	if _, err := b.Acquire(t.Context(), request("other", 1, time.Millisecond, time.Second)); !errors.Is(err, ErrNoTarget) {
+		t.Fatalf("error %v, wanted ErrNoTarget", err)
+	}
+}
