--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -126,7 +126,8 @@
 		return
 	}
 	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
-		"attempts", c.Attempts(), "targets", c.Tried(), "ms", time.Since(c.Arrived).Milliseconds())
+		"attempts", c.Attempts(), "targets", c.Tried(), "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.First.Milliseconds(),
+		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds())
 }
 
 // fail logs a failure and tells the caller, by breaking the connection if the
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -37,6 +37,9 @@
 	// CallerDeadline is when the caller stops waiting. It is passed to runners.
 	CallerDeadline time.Time
 
+	// Timing is how the answer went.
+	Timing Timing
+
 	attempts int
 	tried    []string
 	mayRun   bool
@@ -44,6 +47,29 @@
 	kept *wholeAnswer
 }
 
+// Timing tells where the time of a call went.
+type Timing struct {
+	// Placed is how long the call waited for a place, in all attempts.
+	Placed time.Duration
+	// First is the time from the call's arrival to the first byte for the caller.
+	First time.Duration
+	// LongestGap is the longest pause between two events of a stream.
+	LongestGap time.Duration
+
+	last time.Time
+}
+
+// wrote notes that a part of the answer has gone out.
+func (t *Timing) wrote(arrived time.Time) {
+	now := time.Now()
+	if t.last.IsZero() {
+		t.First = now.Sub(arrived)
+	} else {
+		t.LongestGap = max(t.LongestGap, now.Sub(t.last))
+	}
+	t.last = now
+}
+
 // wholeAnswer is an answer that was read to its end.
 type wholeAnswer struct {
 	status int
--- a/internal/serving/relayer/place.go
+++ b/internal/serving/relayer/place.go
@@ -30,6 +30,7 @@
 		Tried:     c.tried,
 	}
 	p, err := r.Balancer.Acquire(ctx, request)
+	c.Timing.Placed += time.Since(now)
 	switch {
 	case err == nil:
 		return p, nil
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -250,6 +250,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(w.body)))
 	}
 	a.Start(w.status, header)
+	c.Timing.wrote(c.Arrived)
 	if err := a.Write(w.body); err != nil {
 		r.Log.Debug("the caller left before its answer", "request", c.ID, "error", err)
 	}
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -84,6 +84,7 @@
 	if err := a.Write(s.pending[:end]); err != nil {
 		return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
 	}
+	c.Timing.wrote(c.Arrived)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	return nil
 }
