--- /dev/null
+++ b/internal/serving/relayer/relayer_test.go
@@ -0,0 +1,236 @@
+package relayer
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/routing/retrier"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// fault is one entry of testdata/faults.json: what runners do with the sends of
+// one request, in order, and what the caller gets.
+type fault struct {
+	Name      string   `json:"name"`
+	Type      string   `json:"type"`
+	Resumable bool     `json:"resumable"`
+	Last      string   `json:"last"`
+	Budget    string   `json:"budget"`
+	Runs      []string `json:"runs"`
+	// Unreachable is the number of runners to which no connection can be opened,
+	// of two more than there are runs.
+	Unreachable  int               `json:"unreachable"`
+	Status       int               `json:"status"`
+	Body         string            `json:"body"`
+	Events       int               `json:"events"`
+	Failure      int               `json:"failure"`
+	Outcome      responder.Outcome `json:"outcome"`
+	Started      bool              `json:"started"`
+	Sends        int               `json:"sends"`
+	ResumedAfter string            `json:"resumed_after"`
+}
+
+// script plays the runners of a fault.
+type script struct {
+	mu    sync.Mutex
+	runs  []string
+	sends int
+	last  string
+}
+
+func (s *script) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.answer(c)
+	}
+}
+
+func (s *script) answer(c net.Conn) {
+	defer c.Close() //nolint:errcheck
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	s.mu.Lock()
+	run := "ok"
+	if s.sends < len(s.runs) {
+		run = s.runs[s.sends]
+	}
+	s.sends++
+	s.last = q.Header.Get("Last")
+	s.mu.Unlock()
+	head := "HTTP/1.1 %d X\r\nId: " + q.Header.Get("Id") + "\r\nConnection: close\r\n%s\r\n"
+	switch run {
+	case "ok":
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
+	case "unsigned":
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Content-Length: 2\r\n")
+	case "encoded":
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n")
+	case "cut":
+		_, _ = fmt.Fprintf(c, head+"o", 200, "Signed: 1\r\nContent-Length: 2\r\n")
+	case "error":
+		_, _ = fmt.Fprintf(c, head+"bad", 500, "Signed: 1\r\nContent-Length: 3\r\n")
+	case "refuse":
+		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nContent-Length: 0\r\n")
+	case "elsewhere":
+		_, _ = fmt.Fprintf(c, head, 421, "Not-Run: 1\r\nContent-Length: 0\r\n")
+	case "hang_up":
+	default:
+		_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+		writeStream(c, run)
+	}
+}
+
+// writeStream plays "stream FIRST-LAST HOW".
+func writeStream(w io.Writer, run string) {
+	first, last, how := 0, 0, ""
+	if _, err := fmt.Sscanf(run, "stream %d-%d %s", &first, &last, &how); err != nil {
+		panic(err)
+	}
+	chunk := func(s string) { _, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(s), s) }
+	for i := first; i <= last; i++ {
+		chunk(fmt.Sprintf("id: %d\ndata: x\n\n", i))
+	}
+	switch how {
+	case "end":
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	case "gap":
+		chunk(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	case "torn":
+		chunk(fmt.Sprintf("id: %d\nda", last+1))
+	case "torn_end":
+		chunk(fmt.Sprintf("id: %d\nda", last+1))
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}
+}
+
+func wire() *Wire {
+	return &Wire{
+		Header: func(c *Call, _ *tracker.Target, _ time.Duration, last string) http.Header {
+			return http.Header{"Id": {c.ID}, "Last": {last}}
+		},
+		Echo: "Id",
+		Inspect: func(status int, h http.Header) Inspection {
+			return Inspection{
+				NotRun: h.Get("Not-Run") != "", Elsewhere: status == 421, Genuine: h.Get("Signed") != "", Encoded: h.Get("Content-Encoding") != "",
+			}
+		},
+		AnswerHeader: func(h http.Header) http.Header { return h.Clone() },
+	}
+}
+
+// newRelayer returns a relayer over enough runners for all sends of a fault.
+func newRelayer(t *testing.T, x *fault, address string) *Relayer {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := l.Addr().String()
+	_ = l.Close()
+	tr := &tracker.Tracker{}
+	tr.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	list := []*tracker.Runner{}
+	for i := range len(x.Runs) + x.Unreachable {
+		r := &tracker.Runner{ID: fmt.Sprintf("r%d", i), Service: "s", Address: address, State: tracker.Ready, Slots: 9}
+		if i < x.Unreachable {
+			r.Address = dead
+		}
+		list = append(list, r)
+	}
+	tr.Replace(list, 0)
+	budget := &retrier.Budget{PerRequest: 0.1, Burst: 100}
+	if x.Budget == "spent" {
+		budget = &retrier.Budget{PerRequest: 0.1, Burst: 0.5}
+	}
+	return &Relayer{
+		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
+		Budget: func(string) *retrier.Budget { return budget }, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+func TestFaults(t *testing.T) {
+	b, err := os.ReadFile("testdata/faults.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []fault{}
+	if err := json.Unmarshal(b, &list); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) { x.check(t) })
+	}
+}
+
+func (x *fault) check(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck
+	s := &script{runs: x.Runs}
+	go s.serve(l)
+	r := newRelayer(t, x, l.Addr().String())
+	types := map[string]matcher.RouteType{"idempotent": matcher.Idempotent, "non_idempotent": matcher.NonIdempotent, "stream": matcher.Stream}
+	now := time.Now()
+	c := &Call{
+		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(2 * time.Second),
+		CallerDeadline: now.Add(2 * time.Second), LastEvent: x.Last,
+		Route: &matcher.Route{Type: types[x.Type], Resumable: x.Resumable, MaxAttempts: 2, TargetLatency: time.Second},
+	}
+	status, body := 0, strings.Builder{}
+	failure := r.Serve(t.Context(), c, &Answer{
+		Start: func(code int, _ http.Header) { status = code },
+		Write: func(b []byte) error { _, err := body.Write(b); return err },
+	})
+	x.compare(t, s, status, body.String(), failure)
+}
+
+func (x *fault) compare(t *testing.T, s *script, status int, body string, failure *responder.Failure) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sends != x.Sends {
+		t.Errorf("%d sends, wanted %d", s.sends, x.Sends)
+	}
+	if status != x.Status {
+		t.Errorf("status %d, wanted %d", status, x.Status)
+	}
+	switch {
+	case failure == nil && x.Failure != 0:
+		t.Error("no failure")
+	case failure != nil && (failure.Status != x.Failure || failure.Outcome != x.Outcome || failure.Started != x.Started):
+		t.Errorf("failure %d, %s, started %t: %s", failure.Status, failure.Outcome, failure.Started, failure.Message)
+	case failure != nil && failure.Outcome == responder.NotRun && failure.RetryAfter <= 0:
+		t.Error("a caller is not told when to come back")
+	}
+	if x.Body != "" && body != x.Body {
+		t.Errorf("body %q, wanted %q", body, x.Body)
+	}
+	if n := strings.Count(body, "\n\n"); n != x.Events {
+		t.Errorf("%d events, wanted %d: %q", n, x.Events, body)
+	}
+	if x.ResumedAfter != "" && s.last != x.ResumedAfter {
+		t.Errorf("resumed after %q, wanted %q", s.last, x.ResumedAfter)
+	}
+}
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -77,33 +77,36 @@
 		return nil
 	}
 	end += len(eventEnd)
-	if err := s.check(s.pending[:end]); err != nil {
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, err.Error())
+	good, orderErr := s.check(s.pending[:end])
+	if good > 0 {
+		r.start(c, a, s, answer)
+		if err := a.Write(s.pending[:good]); err != nil {
+			return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
+		}
+		c.Timing.wrote(c.Arrived)
 	}
-	r.start(c, a, s, answer)
-	if err := a.Write(s.pending[:end]); err != nil {
-		return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
+	if orderErr != nil {
+		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, orderErr.Error())
 	}
-	c.Timing.wrote(c.Arrived)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	return nil
 }
 
-// check makes sure that events follow on the last one, and keeps the last ID.
-func (s *stream) check(events []byte) error {
-	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd)
-		id, ok := eventID(events[:end+1])
-		events = events[end+len(eventEnd):]
-		if !ok {
-			continue
-		}
-		if !follows(s.lastID, id) {
-			return fmt.Errorf("%w: %q after %q", errOrder, id, s.lastID)
+// check makes sure that events follow on the last one, and keeps the last ID. It
+// returns the length of the events that do.
+func (s *stream) check(events []byte) (good int, err error) {
+	for good < len(events) {
+		end := good + bytes.Index(events[good:], eventEnd)
+		id, ok := eventID(events[good : end+1])
+		if ok {
+			if !follows(s.lastID, id) {
+				return good, fmt.Errorf("%w: %q after %q", errOrder, id, s.lastID)
+			}
+			s.lastID = id
 		}
-		s.lastID = id
+		good = end + len(eventEnd)
 	}
-	return nil
+	return good, nil
 }
 
 // eventID returns the ID of an event.
