--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -107,6 +107,8 @@
 	ownedAt  time.Time
 	// workedAt is when the last decision was made.
 	workedAt time.Time
+	// answeredAt is when some runner of the domain last answered a probe.
+	answeredAt time.Time
 	// reachedAt is when a runner of the domain came into reach.
 	reachedAt time.Time
 	// readAt is when the assignment was read. A view that is older may lack what
@@ -228,7 +230,7 @@
 	if !w.loaded || c.ViewAt() < w.readAt {
 		return
 	}
-	c.probe(ctx, w)
+	c.probe(ctx, w, d)
 	in := c.input(w, d, domains)
 	out := Decide(in)
 	if out.Changed {
@@ -371,7 +373,8 @@
 		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Last: w.last, Loading: loading, Warming: warming,
 		Filled: c.filled(d.service, domains),
 		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
-		ReachedFor: now.Sub(w.reachedAt),
+		ReachedFor:  now.Sub(w.reachedAt),
+		AnsweredAgo: now.Sub(w.answeredAt),
 	}
 }
 
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -15,6 +15,9 @@
 	// silentTime is for how long a head has to answer no node before it is taken
 	// to be gone. Other nodes need some of it to try.
 	silentTime = 1200 * time.Millisecond
+	// answerTime is within which some runner of the domain must have answered a
+	// probe for the silence of another to count.
+	answerTime = time.Second
 	// returnTime is within how long the runners of a domain that was cut off are
 	// listed again. Until then one that is missing may still be serving.
 	returnTime = 3 * time.Second
@@ -175,10 +178,11 @@
 
 // isSurelyGone reports whether the head of a replica can serve nobody any more:
 // it is not listed and answers no node, or has been missing for so long that the
-// replica has broken.
+// replica has broken. Other runners of the domain must answer meanwhile, or else
+// the domain may be cut off and serve others.
 func (d *decider) isSurelyGone(r *Replica, isListed bool) bool {
 	since, ok := d.in.Gone[r.Name]
-	if !ok {
+	if !ok || d.in.AnsweredAgo > answerTime {
 		return false
 	}
 	missing := d.in.Now.Sub(since)
--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -10,35 +10,19 @@
 const (
 	probeTimeout  = 350 * time.Millisecond
 	probeInterval = 250 * time.Millisecond
+	// witnesses is how many runners are asked to see whether a domain is in reach.
+	witnesses = 3
 	// missesUntilDead is how many probes in a row a runner must miss.
 	missesUntilDead = 2
 )
 
-// probe asks the members of suspected replicas whether they are there.
-func (c *Controller) probe(ctx context.Context, w *worker) {
+// probe asks the members of suspected replicas whether they are there, and
+// others beside them if a replica is to be closed without its head.
+func (c *Controller) probe(ctx context.Context, w *worker, d *domain) {
 	if time.Since(w.probed) < probeInterval {
 		return
 	}
-	suspects := c.Suspects()
-	members := []Member{}
-	for _, r := range w.current.Replicas {
-		if r.State == Open && suspects[r.Members[0].ID] {
-			members = append(members, r.Members...)
-		}
-	}
-	for _, r := range w.current.Replicas {
-		_, isGone := w.gone[r.Name]
-		if r.State == Closing && isGone {
-			members = append(members, r.Members[0])
-		}
-	}
-	for id := range w.dead {
-		m, ok := w.member(id)
-		isAsked := slices.ContainsFunc(members, func(x Member) bool { return x.ID == id })
-		if ok && !isAsked {
-			members = append(members, m)
-		}
-	}
+	members := w.doubtful(c.Suspects(), d)
 	if len(members) == 0 {
 		return
 	}
@@ -56,7 +40,45 @@
 	for i, m := range members {
 		w.count(c, m, alive[i])
 	}
-	c.Log.Info("runners were probed", "runners", ids(members), "alive", alive, "ms", time.Since(w.probed).Milliseconds())
+	c.Log.Info("runners were probed", "domain", d.name, "runners", ids(members), "alive", alive, "ms", time.Since(w.probed).Milliseconds())
+}
+
+// doubtful returns the runners to probe.
+func (w *worker) doubtful(suspects map[string]bool, d *domain) []Member {
+	members := []Member{}
+	add := func(m Member) {
+		if !slices.ContainsFunc(members, func(x Member) bool { return x.ID == m.ID }) {
+			members = append(members, m)
+		}
+	}
+	for _, r := range w.current.Replicas {
+		if r.State == Open && suspects[r.Members[0].ID] {
+			for _, m := range r.Members {
+				add(m)
+			}
+		}
+		if _, isGone := w.gone[r.Name]; r.State == Closing && isGone {
+			add(r.Members[0])
+			w.addWitnesses(d, add)
+		}
+	}
+	for id := range w.dead {
+		if m, ok := w.member(id); ok {
+			add(m)
+		}
+	}
+	return members
+}
+
+// addWitnesses adds runners of the domain whose answers show that it is in reach.
+func (w *worker) addWitnesses(d *domain, add func(Member)) {
+	left := witnesses
+	for _, r := range d.runners {
+		if left > 0 && !w.dead[r.ID] {
+			add(Member{ID: r.ID, Address: r.Address, BootTime: r.BootTime})
+			left--
+		}
+	}
 }
 
 func (w *worker) member(id string) (Member, bool) {
@@ -71,6 +93,9 @@
 }
 
 func (w *worker) count(c *Controller, m Member, isAlive bool) {
+	if isAlive {
+		w.answeredAt = time.Now()
+	}
 	if isAlive || c.AnswersOthers(m.ID) {
 		w.misses[m.ID] = 0
 		delete(w.silent, m.ID)
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -114,6 +114,8 @@
 	StallTime time.Duration
 	// ReachedFor is for how long some runner of the domain has been in reach.
 	ReachedFor time.Duration
+	// AnsweredAgo is how long ago some runner of the domain answered a probe.
+	AnsweredAgo time.Duration
 	// Silent is since when runners have answered no node.
 	Silent map[string]time.Time
 	// Last is the model of the last replica that a runner was ready in.
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -417,14 +417,17 @@
 // lapse and come back one after the other.
 func (w *world) cutOff() {
 	w.cut = true
-	go func() {
-		time.Sleep(3600 * time.Millisecond)
-		w.mu.Lock()
-		for _, v := range w.vms {
+	for _, v := range w.vms {
+		d := 2400*time.Millisecond + time.Duration(w.rand.IntN(1200))*time.Millisecond
+		go func() {
+			time.Sleep(d)
+			w.mu.Lock()
 			v.listed = false
-		}
-		w.mu.Unlock()
-		time.Sleep(4 * time.Second)
+			w.mu.Unlock()
+		}()
+	}
+	go func() {
+		time.Sleep(7600 * time.Millisecond)
 		w.mu.Lock()
 		w.cut = false
 		vms := []*vm{}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	catalogWait       = time.Second
-	runnersWait       = time.Second
+	catalogWait       = 700 * time.Millisecond
+	runnersWait       = 700 * time.Millisecond
 	runnersInterval   = 200 * time.Millisecond
 	stallInterval     = 100 * time.Millisecond
 	formInterval      = 100 * time.Millisecond
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -11,7 +11,7 @@
 const (
 	// fedAge is up to which age a copy that another node keeps current is
 	// trusted to stay so. Above it the node asks the store itself.
-	fedAge = 1200 * time.Millisecond
+	fedAge = 1800 * time.Millisecond
 	// storeFailedFor is how long a node whose call to the store failed leaves
 	// work that needs the store to others.
 	storeFailedFor = 2 * time.Second
@@ -105,6 +105,9 @@
 	b.Doubts = n.former.Doubts()
 	b.Alive = n.doubted.answering()
 	b.Loads = n.former.Loading()
+	if limited && n.isWatcher() {
+		b.Totals = n.totals()
+	}
 	if dataCenter == n.Settings.DataCenter && n.isWatcher() {
 		b.Copies = map[string]follower.Copy{n.Ports.CatalogKind: n.catalogs.Copy(), n.Ports.RunnerKind: n.runners.Copy()}
 	}
@@ -120,8 +123,21 @@
 	}
 }
 
+// totals returns the requests in flight from all nodes at the targets of this
+// data center.
+func (n *Node) totals() map[string]int {
+	totals := map[string]int{}
+	for _, t := range n.tracker.View().All() {
+		if t.DataCenter == n.Settings.DataCenter {
+			totals[t.ID] = n.balancer.InFlight(t.ID)
+		}
+	}
+	return totals
+}
+
 func (n *Node) receiveBeat(b *beater.Beat) {
 	n.balancer.SetPeer(b.Node, b.InFlight)
+	n.balancer.SetTotals(b.Totals)
 	for _, id := range b.Suspects {
 		n.keepSuspect(id)
 		n.balancer.Suspect(id)
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -87,6 +87,9 @@
 	// Copies describe the node's copies of the store's objects by kind, if it
 	// watches the store itself.
 	Copies map[string]follower.Copy `cbor:"14,keyasint,omitempty"`
+	// Totals are the requests in flight from all nodes at runners of the sender's
+	// data center, in beats to others that are limited.
+	Totals map[string]int `cbor:"15,keyasint,omitempty"`
 	// Echo is the last stamp of the receiver that the sender had seen. What the
 	// beat says was true after that moment on the receiver's clock.
 	Echo int64 `cbor:"-"`
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -26,6 +26,9 @@
 	// tieSpread separates targets of like load, so that nodes with the same
 	// figures do not all choose the same one.
 	tieSpread = 1.0
+	// remoteSpread does so for targets of other data centers, whose load is known
+	// later.
+	remoteSpread = 4.0
 	// stallAfter is how long a target with requests may send nothing. It is
 	// above the time that a pass with the longest prompts takes.
 	stallAfter = 700 * time.Millisecond
@@ -114,6 +117,26 @@
 	})
 }
 
+// SetTotals sets what all nodes together have in flight at targets of another
+// data center.
+func (b *Balancer) SetTotals(counts map[string]int) {
+	now := time.Now()
+	for id, n := range counts {
+		l := b.load(id)
+		l.mu.Lock()
+		l.total = peerLoad{count: n, at: now}
+		l.mu.Unlock()
+	}
+}
+
+// InFlight returns what all nodes have in flight at a target.
+func (b *Balancer) InFlight(id string) int {
+	l := b.load(id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count(time.Now())
+}
+
 // Suspect keeps requests away from a target that another node suspects.
 func (b *Balancer) Suspect(id string) {
 	l := b.load(id)
@@ -175,9 +198,11 @@
 		if n >= t.Slots {
 			continue
 		}
-		score := float64(n) + failures*failureCost + rand.Float64()*tieSpread
-		if t.DataCenter != b.DataCenter {
-			score += remoteCost
+		score := float64(n) + failures*failureCost
+		if t.DataCenter == b.DataCenter {
+			score += rand.Float64() * tieSpread
+		} else {
+			score += remoteCost + rand.Float64()*remoteSpread
 		}
 		if best == nil || score < bestScore {
 			best, bestLoad, bestScore = t, load, score
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -17,6 +17,9 @@
 	failureCost = 20
 	// peerLifetime is how long another node's report of its load counts.
 	peerLifetime = 1500 * time.Millisecond
+	// totalLifetime is how long another data center's report of the load of its
+	// targets counts. Such reports are fewer.
+	totalLifetime = 2500 * time.Millisecond
 )
 
 // Load is what this node knows about one target's work.
@@ -24,6 +27,7 @@
 	mu        sync.Mutex
 	own       map[*Place]struct{}
 	peers     map[string]peerLoad
+	total     peerLoad
 	progress  time.Time
 	avoid     time.Time
 	suspected time.Time
@@ -43,6 +47,9 @@
 			n += p.count
 		}
 	}
+	if now.Sub(l.total.at) < totalLifetime {
+		n = max(n, l.total.count)
+	}
 	return n
 }
 
