Suspect a target only by a stream that stood still

The word went to all nodes and took the head out of use for 5 s. Change: 0.7 s only once the target has sent something here, 1.3 s otherwise; the word of another node moves this node's waiting requests too. TestFirstEvent.

--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -29,9 +29,12 @@
 	// remoteSpread does so for targets of other data centers, whose load is known
 	// later.
 	remoteSpread = 4.0
-	// stallAfter is how long a target with requests may send nothing. It is
-	// above the time that a pass with the longest prompts takes.
+	// stallAfter is how long a target that has sent a part of an answer may send
+	// nothing. It is above the time that a pass with the longest prompts takes.
 	stallAfter = 700 * time.Millisecond
+	// firstStallAfter is the same while all requests of this node still wait for
+	// their first event, which a busy target sends later.
+	firstStallAfter = 1300 * time.Millisecond
 	// suspectFor is how long a target that stalled gets no requests.
 	suspectFor = 5 * time.Second
 )
@@ -137,14 +140,21 @@
 	return l.count(time.Now())
 }
 
-// Suspect keeps requests away from a target that another node suspects.
+// Suspect keeps requests away from a target that another node suspects, and
+// moves those that wait there, unless the target has just sent something here.
 func (b *Balancer) Suspect(id string) {
 	l := b.load(id)
 	now := time.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.After(l.suspected) && now.Sub(l.progress) > stallAfter/2 {
-		l.suspected = now.Add(suspectFor / 2)
+	if now.Before(l.suspected) || now.Sub(l.progress) < stallAfter/2 {
+		l.mu.Unlock()
+		return
+	}
+	l.suspected = now.Add(suspectFor / 2)
+	moves := l.takeMoves(now.Add(-stallAfter / 2))
+	l.mu.Unlock()
+	for _, move := range moves {
+		move(ErrStalled)
 	}
 }
 
@@ -251,25 +261,35 @@
 	}
 	since := l.progress
 	oldest := now
+	limit := firstStallAfter
 	for p := range l.own {
 		if p.taken.Before(oldest) {
 			oldest = p.taken
 		}
+		if p.hasStarted {
+			limit = stallAfter
+		}
 	}
 	if oldest.After(since) {
 		since = oldest
 	}
 	idle := now.Sub(since)
-	if idle < stallAfter {
+	if idle < limit {
 		return nil, idle
 	}
 	l.suspected = now.Add(suspectFor)
+	return l.takeMoves(now), idle
+}
+
+// takeMoves returns the moves of the requests that were placed before a moment.
+// l.mu is held.
+func (l *Load) takeMoves(before time.Time) []func(error) {
 	moves := []func(error){}
 	for p := range l.own {
-		if p.move != nil {
+		if p.move != nil && p.taken.Before(before) {
 			moves = append(moves, p.move)
 			p.move = nil
 		}
 	}
-	return moves, idle
+	return moves
 }
--- a/internal/serving/balancer/balancer_test.go
+++ b/internal/serving/balancer/balancer_test.go
@@ -119,6 +119,7 @@
 				}
 				moved[p.Target.ID]++
 			})
+			p.Progress()
 			places = append(places, p)
 		}
 		for range 10 {
@@ -143,6 +144,27 @@
 	})
 }
 
+// TestFirstEvent checks that a target is not suspected only because a single
+// request waits for its first event, but that the word of another node, which
+// has seen a stream stand still, moves that request.
+func TestFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("m", 8, "a")
+		moved := false
+		p := acquire(t, b, request("m", 1, 0, time.Second))
+		p.OnMove(func(error) { moved = true })
+		time.Sleep(time.Second)
+		b.CheckStalls()
+		if moved {
+			t.Error("moved after a second")
+		}
+		b.Suspect("a")
+		if !moved {
+			t.Error("not moved although another node suspects the target")
+		}
+	})
+}
+
 // TestGone checks that a request whose caller has gone leaves the queue and
 // keeps no place.
 func TestGone(t *testing.T) {
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -63,6 +63,8 @@
 	taken    time.Time
 	move     func(error)
 	released bool
+	// hasStarted says that the target has sent something for this request.
+	hasStarted bool
 }
 
 // OnMove sets what is called when the target is found to show no progress. It
@@ -78,6 +80,7 @@
 	now := time.Now()
 	p.load.mu.Lock()
 	p.load.progress = now
+	p.hasStarted = true
 	p.load.mu.Unlock()
 }
 
