--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -44,6 +44,7 @@
 		{"delete", "delete an object", "Deletes an object at a version.", &deleteCommand{output: o}},
 		{"drain", "stop a node gracefully", "Has the node finish its requests and stop.", &drainCommand{output: o}},
 		{"status", "show what is in force and serving", "Shows what is in force in each data centre and what serves.", &statusCommand{output: o}},
+		{"explain", "tell a request's story from logs", "Prints in time order what the nodes' logs say about one request and the runners it was sent to.", &explainCommand{output: o}},
 		{"version", "print the version", "Prints the version.", &versionCommand{output: o}},
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/internal/fleet/former/goal_test.go
@@ -0,0 +1,73 @@
+package former
+
+import (
+	"encoding/json"
+	"maps"
+	"os"
+	"testing"
+
+	"marjorammoor/internal/serving/matcher"
+)
+
+// TestGoals reads testdata/goals.json: how many replicas of each model a domain
+// should have.
+func TestGoals(t *testing.T) {
+	list := []struct {
+		Name    string         `json:"name"`
+		Sizes   map[string]int `json:"sizes"`
+		Model   string         `json:"model"`
+		Runners int            `json:"runners"`
+		Goal    map[string]int `json:"goal"`
+	}{}
+	readJSON(t, "testdata/goals.json", &list)
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) {
+			models := []matcher.Model{}
+			for _, name := range []string{"large", "small"} {
+				if size, ok := x.Sizes[name]; ok {
+					models = append(models, matcher.Model{Name: name, Size: size, InitialShare: 0.5})
+				}
+			}
+			a := &Assignment{Model: x.Model}
+			if got := a.goal(models, x.Runners); !maps.Equal(got, x.Goal) {
+				t.Errorf("goal %v, wanted %v", got, x.Goal)
+			}
+		})
+	}
+}
+
+// TestModels reads testdata/models.json: which models domains get that are
+// created one after the other.
+func TestModels(t *testing.T) {
+	list := []struct {
+		Name        string             `json:"name"`
+		Shares      map[string]float64 `json:"shares"`
+		DataCenters []string           `json:"data_centers"`
+		Models      []string           `json:"models"`
+	}{}
+	readJSON(t, "testdata/models.json", &list)
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) {
+			models := []matcher.Model{{Name: "large", Size: 4, InitialShare: x.Shares["large"]}, {Name: "small", Size: 2, InitialShare: x.Shares["small"]}}
+			here, everywhere := map[string]map[string]int{}, map[string]int{}
+			for i, dataCenter := range x.DataCenters {
+				got := chooseModel(models, len(x.DataCenters), here[dataCenter], everywhere)
+				if got != x.Models[i] {
+					t.Errorf("domain %d of %s gets %q, wanted %q", i, dataCenter, got, x.Models[i])
+				}
+				count(here, everywhere, dataCenter, got)
+			}
+		})
+	}
+}
+
+func readJSON(t *testing.T, path string, out any) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/logging/writer/writer_test.go
@@ -0,0 +1,63 @@
+package writer
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestBound checks that no more than the allowed lines a second are written and
+// that those left out are counted in a line.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &bytes.Buffer{}
+		w := &Writer{Output: out, LinesPerSecond: 3}
+		for range 5 {
+			if n, err := w.Write([]byte("line\n")); n != 5 || err != nil {
+				t.Fatal(n, err)
+			}
+		}
+		w.Flush()
+		if n := strings.Count(out.String(), "line\n"); n != 3 || !strings.Contains(out.String(), `"lines":2`) {
+			t.Errorf("written: %q", out)
+		}
+		time.Sleep(2 * time.Second)
+		out.Reset()
+		_, _ = w.Write([]byte("line\n"))
+		w.Flush()
+		if out.String() != "line\n" {
+			t.Errorf("written: %q", out)
+		}
+	})
+}
+
+// TestNeverBlocks checks that logging goes on while the output hangs.
+func TestNeverBlocks(t *testing.T) {
+	hang := make(chan struct{})
+	w := &Writer{Output: blocked(hang), LinesPerSecond: 1 << 20}
+	_, _ = w.Write([]byte("first\n"))
+	go w.Flush()
+	time.Sleep(10 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		for range 100_000 {
+			_, _ = w.Write([]byte("0123456789\n"))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("logging blocks on its output")
+	}
+	close(hang)
+}
+
+type blocked chan struct{}
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b
+	return len(p), nil
+}
