--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -15,6 +15,9 @@
 	// storeFailedFor is how long a node whose call to the store failed leaves
 	// work that needs the store to others.
 	storeFailedFor = 2 * time.Second
+	// acquaintTime is for how long after its start a node does not take domains
+	// over, because it does not know the other nodes yet.
+	acquaintTime = 900 * time.Millisecond
 	// watchKey is what nodes are ranked by to name the one that watches.
 	watchKey = "watch"
 )
@@ -45,7 +48,7 @@
 // the store cannot; those of the domain's data center come first, because they
 // reach its runners while the data center is cut off from the others.
 func (n *Node) owns(domain, dataCenter string) bool {
-	if n.stopping.Load() || !n.hasStore() {
+	if n.stopping.Load() || !n.hasStore() || time.Since(n.startedAt) < acquaintTime {
 		return false
 	}
 	live := n.beater.Live()
--- a/internal/serving/announcer/announcer.go
+++ b/internal/serving/announcer/announcer.go
@@ -52,13 +52,14 @@
 // Run announces the node and looks for others until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
 	a.untilDone(ctx, "announce this node", a.announce)
-	a.untilDone(ctx, "list the nodes", a.list)
+	look := func(ctx context.Context) error { return a.list(ctx, false) }
+	a.untilDone(ctx, "list the nodes", look)
 	if !repeater.Pause(ctx, secondLook) {
 		return
 	}
-	a.untilDone(ctx, "list the nodes", a.list)
+	a.untilDone(ctx, "list the nodes", look)
 	repeater.Every(ctx, listInterval, func() {
-		if err := a.list(ctx); err != nil {
+		if err := a.list(ctx, true); err != nil {
 			a.Log.Debug("cannot list the nodes", "error", err)
 		}
 	})
@@ -94,12 +95,11 @@
 	return nil
 }
 
-// list looks for other nodes. A stale list will do: a node that starts is known
-// to those that it sends its beats to.
-func (a *Announcer) list(ctx context.Context) error {
+// list looks for other nodes. A stale list costs less and may lack the newest.
+func (a *Announcer) list(ctx context.Context, stale bool) error {
 	call, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	objects, _, err := a.Store.List(call, Kind, true)
+	objects, _, err := a.Store.List(call, Kind, stale)
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -115,9 +115,11 @@
 	lost      atomic.Bool
 }
 
-// Changes are what a watch found after one revision and up to another.
+// Changes are what a watch found up to a revision.
 type Changes struct {
-	Kind    string   `cbor:"1,keyasint"`
+	Kind string `cbor:"1,keyasint"`
+	// Since is the revision of the change before these, or a later one before
+	// which there was none.
 	Since   int64    `cbor:"2,keyasint"`
 	At      int64    `cbor:"3,keyasint"`
 	Objects []Object `cbor:"4,keyasint"`
@@ -264,7 +266,7 @@
 
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	since := f.at
+	since, changed := f.at, f.changed
 	f.mu.Unlock()
 	sent := Now()
 	call, stop := context.WithTimeout(ctx, wait+callSlack)
@@ -281,7 +283,7 @@
 	}
 	f.confirm(sent)
 	if f.Published != nil {
-		f.Published(Changes{Kind: f.Kind, Since: since, At: at, Objects: changes})
+		f.Published(Changes{Kind: f.Kind, Since: changed, At: at, Objects: changes})
 	}
 	return nil
 }
