--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 	"marjorammoor/internal/store/follower"
@@ -86,51 +84,6 @@
 	loading   atomic.Int64
 }
 
-// worker is what is known about one domain.
-type worker struct {
-	busy     atomic.Bool
-	loaded   bool
-	revision int64
-	current  Assignment
-	since    map[string]time.Time
-	gone     map[string]time.Time
-	left     map[string]bool
-	sent     map[orderKey]time.Time
-	misses   map[string]int
-	dead     map[string]bool
-	silent   map[string]time.Time
-	last     map[string]string
-	loading  map[string]load
-	warming  map[string]time.Time
-	probed   time.Time
-	loads    []time.Time
-	ownedAt  time.Time
-	// workedAt is when the last decision was made.
-	workedAt time.Time
-	// answeredAt is when some runner of the domain last answered a probe.
-	answeredAt time.Time
-	// reachedAt is when a runner of the domain came into reach.
-	reachedAt time.Time
-	// readAt is when the assignment was read. A view that is older may lack what
-	// the assignment's last writer saw, and must not be compared with it.
-	readAt time.Duration
-	// triedAt is when reading the assignment was last tried.
-	triedAt time.Time
-}
-
-// load is an order to stage weights that may still be carried out.
-type load struct {
-	model string
-	until time.Time
-}
-
-type orderKey struct {
-	operation Operation
-	runner    string
-	epoch     int64
-	model     string
-}
-
 // domain is the runners of one fabric domain of a service.
 type domain struct {
 	service *matcher.Service
@@ -302,31 +255,6 @@
 	return nil
 }
 
-// keepTimes drops what is known of replicas that are gone and dates new ones.
-func (w *worker) keepTimes(a Assignment) {
-	now := time.Now()
-	since := map[string]time.Time{}
-	for _, r := range a.Replicas {
-		key := r.Name
-		since[key] = now
-		if old, ok := w.since[key]; ok && (r.State == Forming || old.Before(now)) {
-			since[key] = old
-		}
-	}
-	w.since = since
-	for name := range w.gone {
-		if _, ok := since[name]; !ok {
-			delete(w.gone, name)
-			delete(w.left, name)
-		}
-	}
-	for k, at := range w.sent {
-		if now.Sub(at) > time.Minute {
-			delete(w.sent, k)
-		}
-	}
-}
-
 func (c *Controller) input(w *worker, d *domain, domains []*domain) *Input {
 	now := time.Now()
 	listed := map[string]bool{}
@@ -378,48 +306,6 @@
 	}
 }
 
-// follow notes what each runner has served and which loads are over, and returns
-// how many those are.
-func (w *worker) follow(d *domain, now time.Time) int {
-	over := 0
-	listed := map[string]*tracker.Runner{}
-	for _, r := range d.runners {
-		listed[r.ID] = r
-	}
-	for id, l := range w.loading {
-		r, ok := listed[id]
-		if !ok || !needsLoad(r, l.model) || now.After(l.until) {
-			delete(w.loading, id)
-			over++
-		}
-	}
-	for _, r := range d.runners {
-		if isWarming(r) && r.Membership.State == tracker.MemberReady && len(r.Models) == 1 {
-			w.last[r.ID] = r.Models[0]
-		}
-	}
-	for _, a := range w.current.Replicas {
-		for _, m := range a.Members {
-			r, ok := listed[m.ID]
-			if ok && isMember(r, &a) && r.Membership.State != tracker.MemberJoining {
-				w.last[m.ID] = a.Model
-			}
-		}
-	}
-	return over
-}
-
-// isReached reports whether at least one runner of a domain is listed and not
-// known to be silent. If none is, the domain rather than its runners is cut off.
-func isReached(runners []*tracker.Runner, dead map[string]bool) bool {
-	for _, r := range runners {
-		if !dead[r.ID] {
-			return true
-		}
-	}
-	return false
-}
-
 // loadsLeft returns this domain's part of the loads that may begin now. More
 // loads at once than the weight store serves at full speed would only slow each
 // other down.
@@ -466,67 +352,3 @@
 
 // Loading returns how many loads this node has under way.
 func (c *Controller) Loading() int { return int(c.loading.Load()) }
-
-// resendAfter is how long an order is not sent again, since the runner's entry
-// has to show its effect first.
-const resendAfter = 1200 * time.Millisecond
-
-// send sends the orders that were not just sent, all at once.
-func (c *Controller) send(ctx context.Context, w *worker, d *domain, orders []Order) {
-	now := time.Now()
-	results := make([]Result, len(orders))
-	wg := sync.WaitGroup{}
-	for i, o := range orders {
-		k := orderKey{o.Operation, o.Runner.ID, o.Epoch, o.Model}
-		if at, ok := w.sent[k]; ok && now.Sub(at) < resendAfter {
-			results[i] = Begun
-			continue
-		}
-		w.sent[k] = now
-		if o.Operation == Join && o.Replica == warmName(o.Runner.ID) {
-			w.warming[o.Runner.ID] = now
-		}
-		if o.Operation == Stage {
-			w.loads = append(w.loads, now)
-			c.loading.Add(1)
-			w.loading[o.Runner.ID] = load{model: o.Model, until: now.Add(c.loadTimeout(d, o.Model))}
-		}
-		wg.Go(func() {
-			call, stop := context.WithTimeout(ctx, orderTimeout)
-			defer stop()
-			results[i] = c.Send(call, o)
-			metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_orders_total{operation=%q}`, string(o.Operation))).Inc()
-			c.Log.Info("order sent", "domain", d.name, "operation", o.Operation, "runner", o.Runner.ID, "replica", o.Replica,
-				"epoch", o.Epoch, "fence", o.Fence, "model", o.Model, "result", results[i].String())
-		})
-	}
-	wg.Wait()
-	for i, o := range orders {
-		c.learn(w, o, results[i])
-	}
-}
-
-// loadTimeout is how long a load may take, with others beside it.
-func (c *Controller) loadTimeout(d *domain, model string) time.Duration {
-	if m, ok := d.service.Model(model); ok {
-		return 2*m.LoadTime + formSlack
-	}
-	return formSlack
-}
-
-func (c *Controller) learn(w *worker, o Order, result Result) {
-	switch {
-	case result == Fenced:
-		w.loaded = false
-	case o.Operation == Stage && result != Begun && result != Done && result != NoAnswer:
-		delete(w.loading, o.Runner.ID)
-		c.loading.Add(-1)
-	case o.Operation == Leave && result == Done, o.Operation == Leave && result == Elsewhere:
-		w.left[o.Replica] = true
-	}
-}
-
-// String names the result.
-func (r Result) String() string {
-	return [...]string{"no_answer", "begun", "done", "unfit", "fenced", "elsewhere", "rejected"}[r]
-}
