--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -30,6 +30,10 @@
 	// warmTimeout is after how long a spare is ordered again to join a group of
 	// its own.
 	warmTimeout = 8 * time.Second
+	// takeoverPause is for how long a node that takes a domain over begins no
+	// loads. The loads that its predecessor began are not known; as no node has
+	// more under way than run at once, two such pauses stay within the bound.
+	takeoverPause = 1500 * time.Millisecond
 	// loadWindow is over which the store's bound on loads is kept, with a margin
 	// for the time that an order takes.
 	loadWindow = 5500 * time.Millisecond
@@ -318,7 +322,7 @@
 	if c.IsEarly() {
 		return atOnce
 	}
-	if now.Sub(w.ownedAt) < loadWindow {
+	if now.Sub(w.ownedAt) < takeoverPause {
 		return 0
 	}
 	kept := w.loads[:0]
--- a/internal/fleet/former/stage.go
+++ b/internal/fleet/former/stage.go
@@ -11,6 +11,10 @@
 // have to differ for the one to be much better off.
 const unevenShare = 0.15
 
+// keptLoads is how many loads are left for replicas that are missing when spares
+// load.
+const keptLoads = 2
+
 // stageAll has free runners load the weights that are needed next, as far as
 // loads may begin: first what a replica that is missing still lacks, then what
 // spares should hold.
@@ -33,7 +37,10 @@
 		}
 	}
 	for d.loads > 0 {
-		if !s.stageMissing(counts) && !s.stageSpare() {
+		if s.stageMissing(counts) {
+			continue
+		}
+		if !d.in.IsEarly && d.loads <= keptLoads || !s.stageSpare() {
 			return
 		}
 	}
