Make membership, loads and domains cheaper in large systems

Each beat of each node went over the loads of all runners, and each step asked for every domain which nodes live, copying all of them. Change: the list of nodes that reach the store is kept for 100 ms; a beat touches only the runners it names; domains are listed anew only when the runners have changed.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,9 +84,13 @@
 	// created are the names of the assignments that are known to exist.
 	created   map[string]bool
 	createdAt time.Time
-	doubtsMu  sync.Mutex
-	doubts    map[string]doubt
-	loading   atomic.Int64
+	// lastDomains were made from lastView and lastServices.
+	lastDomains  []*domain
+	lastView     *tracker.View
+	lastServices map[string]*matcher.Service
+	doubtsMu     sync.Mutex
+	doubts       map[string]doubt
+	loading      atomic.Int64
 }
 
 // domain is the runners of one fabric domain of a service.
@@ -127,14 +132,25 @@
 	clear(w.loading)
 }
 
+// domains returns the domains of all services with models. The list is made anew
+// when the runners or the services have changed.
 func (c *Controller) domains() []*domain {
+	view, services := c.View(), c.Services()
+	if view == c.lastView && maps.Equal(services, c.lastServices) {
+		return c.lastDomains
+	}
+	c.lastView, c.lastServices, c.lastDomains = view, services, listDomains(view, services)
+	return c.lastDomains
+}
+
+func listDomains(view *tracker.View, services map[string]*matcher.Service) []*domain {
 	found := map[string]*domain{}
 	list := []*domain{}
-	for _, s := range c.Services() {
+	for _, s := range services {
 		if s.Engine == nil || len(s.Engine.Models) == 0 {
 			continue
 		}
-		for _, r := range c.View().ServiceRunners(s.Name) {
+		for _, r := range view.ServiceRunners(s.Name) {
 			key := s.Name + "/" + r.Domain
 			d, ok := found[key]
 			if !ok {
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -80,6 +80,7 @@
 	suspects    map[string]time.Time
 	returnUntil atomic.Int64
 	storeFailed atomic.Int64
+	membership  atomic.Pointer[membership]
 }
 
 // Run serves until ctx ends and then stops gracefully.
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -18,6 +18,8 @@
 	// acquaintTime is for how long after its start a node does not take domains
 	// over, because it does not know the other nodes yet.
 	acquaintTime = 900 * time.Millisecond
+	// membershipLifetime is how long a list of the nodes is used.
+	membershipLifetime = 100 * time.Millisecond
 	// watchKey is what nodes are ranked by to name the one that watches.
 	watchKey = "watch"
 )
@@ -30,18 +32,34 @@
 
 func (n *Node) noteStoreFailed() { n.storeFailed.Store(int64(follower.Now())) }
 
-// near returns the live nodes of a data center that reach the store.
-func (n *Node) near(dataCenter string, live []beater.Peer) []string {
-	names := []string{}
-	if n.Settings.DataCenter == dataCenter && n.hasStore() && !n.stopping.Load() {
-		names = append(names, n.Settings.Name)
+// membership is which nodes reach the store, as far as this node knows.
+type membership struct {
+	at time.Time
+	// near are the nodes by data center, all those of all data centers.
+	near map[string][]string
+	all  []string
+}
+
+// members returns the nodes that reach the store, this one among them if it does.
+func (n *Node) members() *membership {
+	if m := n.membership.Load(); m != nil && time.Since(m.at) < membershipLifetime {
+		return m
+	}
+	m := &membership{at: time.Now(), near: map[string][]string{}}
+	add := func(name, dataCenter string) {
+		m.near[dataCenter] = append(m.near[dataCenter], name)
+		m.all = append(m.all, name)
 	}
-	for _, p := range live {
-		if p.DataCenter == dataCenter && p.HasStore && !p.Leaving {
-			names = append(names, p.Node)
+	if n.hasStore() && !n.stopping.Load() {
+		add(n.Settings.Name, n.Settings.DataCenter)
+	}
+	for _, p := range n.beater.Live() {
+		if p.HasStore && !p.Leaving {
+			add(p.Node, p.DataCenter)
 		}
 	}
-	return names
+	n.membership.Store(m)
+	return m
 }
 
 // owns reports whether this node works on a domain. Nodes that do not reach
@@ -51,15 +69,10 @@
 	if n.stopping.Load() || !n.hasStore() || time.Since(n.startedAt) < acquaintTime {
 		return false
 	}
-	live := n.beater.Live()
-	names := n.near(dataCenter, live)
+	m := n.members()
+	names := m.near[dataCenter]
 	if len(names) == 0 {
-		names = append(names, n.Settings.Name)
-		for _, p := range live {
-			if p.HasStore && !p.Leaving {
-				names = append(names, p.Node)
-			}
-		}
+		names = m.all
 	}
 	return ranker.First(domain, names) == n.Settings.Name
 }
@@ -74,13 +87,12 @@
 	if f.Age() > fedAge {
 		return false
 	}
-	names := n.near(n.Settings.DataCenter, n.beater.Live())
-	return ranker.First(watchKey, names) != n.Settings.Name
+	return !n.isWatcher()
 }
 
 // isWatcher reports whether this node watches the store for its data center.
 func (n *Node) isWatcher() bool {
-	return ranker.First(watchKey, n.near(n.Settings.DataCenter, n.beater.Live())) == n.Settings.Name
+	return ranker.First(watchKey, n.members().near[n.Settings.DataCenter]) == n.Settings.Name
 }
 
 // publish passes on what a watch has found. Configurations are left out: they
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -77,7 +78,11 @@
 	Suspected func(t Target, idle time.Duration)
 
 	loads sharder.Map[string, *Load]
-	lanes sharder.Map[laneKey, *lane]
+	// told is what each other node last said that it has in flight.
+	told sharder.Map[string, map[string]int]
+	// waiting is how many requests wait in all lanes.
+	waiting atomic.Int64
+	lanes   sharder.Map[laneKey, *lane]
 }
 
 func (b *Balancer) load(id string) *Load {
@@ -92,6 +97,9 @@
 
 // Changed lets waiting requests look at the targets again.
 func (b *Balancer) Changed() {
+	if b.waiting.Load() == 0 {
+		return
+	}
 	b.lanes.Each(func(_ laneKey, l *lane) bool {
 		l.dispatch(b)
 		return true
@@ -110,14 +118,16 @@
 		l.peers[node] = peerLoad{count: n, at: now}
 		l.mu.Unlock()
 	}
-	b.loads.Each(func(id string, l *Load) bool {
+	before, _ := b.told.Get(node)
+	b.told.Set(node, counts)
+	for id := range before {
 		if _, ok := counts[id]; !ok {
+			l := b.load(id)
 			l.mu.Lock()
 			delete(l.peers, node)
 			l.mu.Unlock()
 		}
-		return true
-	})
+	}
 }
 
 // SetTotals sets what all nodes together have in flight at targets of another
--- a/internal/serving/balancer/lane.go
+++ b/internal/serving/balancer/lane.go
@@ -41,7 +41,9 @@
 	}
 	w := &waiter{request: r, ready: make(chan *Place, 1)}
 	l.waiting = append(l.waiting, w)
+	b.waiting.Add(1)
 	l.mu.Unlock()
+	defer b.waiting.Add(-1)
 	return l.wait(ctx, b, w)
 }
 
--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -91,6 +91,7 @@
 type View struct {
 	Runners map[string]*Runner
 	targets map[key][]*Target
+	all     []*Target
 }
 
 type key struct{ service, model string }
@@ -104,16 +105,12 @@
 	return v.targets[key{service, model}]
 }
 
-// All returns every target.
+// All returns every target. The list must not be changed.
 func (v *View) All() []*Target {
-	list := []*Target{}
 	if v == nil {
-		return list
-	}
-	for _, targets := range v.targets {
-		list = append(list, targets...)
+		return nil
 	}
-	return list
+	return v.all
 }
 
 // ServiceRunners returns the runners of a service, ordered by ID.
@@ -283,6 +280,7 @@
 func (v *View) add(target *Target) {
 	k := key{target.Service, target.Model}
 	v.targets[k] = append(v.targets[k], target)
+	v.all = append(v.all, target)
 }
 
 func (t *Tracker) isPlain(service string) bool {
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -47,7 +47,7 @@
 	callSlack   = 700 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
 	// fedPause is how often a follower that is fed looks whether it still is.
-	fedPause = 20 * time.Millisecond
+	fedPause = 40 * time.Millisecond
 	// regained is the age below which a copy counts as current again.
 	regained   = 500 * time.Millisecond
 	minBackoff = 50 * time.Millisecond
