--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -119,6 +119,9 @@
 	if err != nil {
 		return nil, trace.BadParameter("not JSON with comments: %v", err)
 	}
+	if err := checkOnce(json.NewDecoder(bytes.NewReader(plain)), ""); err != nil {
+		return nil, err
+	}
 	s := &Settings{}
 	d := json.NewDecoder(bytes.NewReader(plain))
 	d.DisallowUnknownFields()
@@ -132,6 +135,40 @@
 	return s, nil
 }
 
+// checkOnce makes sure that no object of a value has a key twice. The decoder
+// alone would take the last one.
+func checkOnce(d *json.Decoder, path string) error {
+	token, err := d.Token()
+	if err != nil {
+		return trace.BadParameter("not JSON: %v", err)
+	}
+	if token != json.Delim('{') && token != json.Delim('[') {
+		return nil
+	}
+	isObject, seen := token == json.Delim('{'), map[string]bool{}
+	for d.More() {
+		inner := path
+		if isObject {
+			key, err := d.Token()
+			if err != nil {
+				return trace.BadParameter("not JSON: %v", err)
+			}
+			inner = strings.TrimPrefix(path+"."+fmt.Sprint(key), ".")
+			if seen[inner] {
+				return trace.BadParameter("%s: given twice", inner)
+			}
+			seen[inner] = true
+		}
+		if err := checkOnce(d, inner); err != nil {
+			return err
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return trace.BadParameter("not JSON: %v", err)
+	}
+	return nil
+}
+
 func explain(err error) error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -254,7 +254,7 @@
 	for i, s := range n.servers {
 		go func() { failed <- s.Serve(n.listeners[i]) }()
 	}
-	n.Log.Info("node started", "node", n.Settings.Name, "data_center", n.Settings.DataCenter,
+	n.Log.Info("node started", "data_center", n.Settings.DataCenter,
 		"incarnation", n.Incarnation, "callers", n.Settings.CallerAddress)
 	select {
 	case <-ctx.Done():
