Show the platform's guards failing; cover handover of a domain with lagging views

Cause: docs/PROOFS.md listed the new guards as not tried. TestCancel ends by itself without its guard (it took 5 min).

--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -37,6 +37,11 @@
 	LostShare float64 `json:"lost_share"`
 	// CutEvery is how often the domain is cut off from store and controllers.
 	CutEvery float64 `json:"cut_every_s"`
+	// HandOverEvery is how often the domain goes to the next controller; 0 lets all
+	// work on it at once.
+	HandOverEvery float64 `json:"hand_over_every_s"`
+	// ViewLag is by how much the views of all controllers but the first lag.
+	ViewLag float64 `json:"view_lag_s"`
 	// MinOpen is the share of the time in which at least one replica of each
 	// model must be open.
 	MinOpen float64 `json:"min_open"`
@@ -303,13 +308,17 @@
 	mu := sync.Mutex{}
 	go func() {
 		for time.Since(w.start) < time.Duration(w.s.Seconds)*time.Second {
-			mu.Lock()
-			at = clock()
-			mu.Unlock()
+			seenAt := clock()
 			w.mu.Lock()
 			list := w.list()
 			w.mu.Unlock()
+			if i > 0 {
+				time.Sleep(time.Duration(w.s.ViewLag * float64(time.Second)))
+			}
 			tr.Replace(list, 0)
+			mu.Lock()
+			at = seenAt
+			mu.Unlock()
 			time.Sleep(time.Duration(150+100*i) * time.Millisecond)
 		}
 	}()
@@ -330,7 +339,7 @@
 			}
 			return ok
 		},
-		Owns:           func(string, string) bool { return true },
+		Owns:           func(string, string) bool { return w.owner(i) },
 		Creates:        func(string) bool { return true },
 		Suspects:       w.suspects,
 		AnswersOthers:  func(string) bool { return false },
@@ -342,6 +351,15 @@
 	}
 }
 
+// owner reports whether it is a controller's turn to work on the domain.
+func (w *world) owner(i int) bool {
+	if w.s.HandOverEvery == 0 {
+		return true
+	}
+	turn := int(time.Since(w.start).Seconds() / w.s.HandOverEvery)
+	return turn%w.s.Controllers == i
+}
+
 // suspects returns the heads that stand still: of open replicas that lost a member.
 func (w *world) suspects() map[string]bool {
 	w.mu.Lock()
--- a/internal/network/requester/requester_test.go
+++ b/internal/network/requester/requester_test.go
@@ -156,14 +156,21 @@
 			ended <- err
 			return
 		}
+		// Without a cancelled connection the request ends with this one.
+		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
 		_, err = io.Copy(io.Discard, c)
+		_ = c.Close()
 		ended <- err
 	}()
+	began := time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
 	if _, err := (&Client{}).Do(ctx, &Request{Method: "GET", Address: l.Addr().String(), Target: "/", Host: "h"}); err == nil {
 		t.Fatal("answered")
 	}
+	if d := time.Since(began); d > time.Second {
+		t.Errorf("the request ended after %v", d)
+	}
 	select {
 	case <-ended:
 	case <-time.After(300 * time.Millisecond):
