Free a refusing head's members only once it has no requests left

Ruled out: a cut (witnesses answered), late orders. Change: a probe tells silence from refusal; a head that refuses connections is gone once no node has a request in flight there for a second, or after 11 s.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -51,8 +51,10 @@
 	Services func() map[string]*matcher.Service
 	Store    *follower.Store
 	Send     Send
-	// Probe reports whether a runner answers.
-	Probe func(ctx context.Context, m Member) bool
+	// Probe shows whether a runner is there.
+	Probe func(ctx context.Context, m Member) Presence
+	// InFlight returns the requests in flight at a head from all nodes.
+	InFlight func(id string) int
 	// Owns says whether this node works on a domain of a data center.
 	Owns func(domain, dataCenter string) bool
 	// Creates says whether this node creates the assignments of new domains of a
@@ -176,7 +178,7 @@
 		w = &worker{
 			since: map[string]time.Time{}, gone: map[string]time.Time{}, left: map[string]bool{},
 			sent: map[orderKey]time.Time{}, misses: map[string]int{}, dead: map[string]bool{},
-			silent: map[string]time.Time{}, last: map[string]string{}, loading: map[string]load{}, warming: map[string]time.Time{},
+			silent: map[string]time.Time{}, refusing: map[string]bool{}, idle: map[string]time.Time{}, last: map[string]string{}, loading: map[string]load{}, warming: map[string]time.Time{},
 		}
 		c.workers[key] = w
 	}
@@ -318,7 +320,7 @@
 	}
 	return &Input{
 		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
-		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Last: w.last, Loading: loading, Warming: warming,
+		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Refusing: w.refusing, IdleSince: w.idle, Last: w.last, Loading: loading, Warming: warming,
 		Filled: c.filled(d.service, domains),
 		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
 		ReachedFor:  now.Sub(w.reachedAt),
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -18,6 +18,11 @@
 	// answerTime is within which some runner of the domain must have answered a
 	// probe for the silence of another to count.
 	answerTime = time.Second
+	// idleTime is for how long a head that takes no connections must have had no
+	// request in flight from any node.
+	idleTime = time.Second
+	// leaveTime is how long a head that is leaving may go on at most, with a margin.
+	leaveTime = 11 * time.Second
 	// returnTime is within how long the runners of a domain that was cut off are
 	// listed again. Until then one that is missing may still be serving.
 	returnTime = 3 * time.Second
@@ -178,7 +183,8 @@
 
 // isSurelyGone reports whether the head of a replica can serve nobody any more:
 // it is not listed and answers no node, or has been missing for so long that the
-// replica has broken. Other runners of the domain must answer meanwhile, or else
+// replica has broken. One that refuses connections may be leaving and must have
+// no requests left. Other runners of the domain must answer meanwhile, or else
 // the domain may be cut off and serve others.
 func (d *decider) isSurelyGone(r *Replica, isListed bool) bool {
 	since, ok := d.in.Gone[r.Name]
@@ -186,6 +192,10 @@
 		return false
 	}
 	missing := d.in.Now.Sub(since)
+	if head := r.Members[0].ID; d.in.Refusing[head] {
+		idle, ok := d.in.IdleSince[head]
+		return !isListed && (ok && d.in.Now.Sub(idle) > idleTime || missing > leaveTime)
+	}
 	if missing > d.in.StallTime {
 		return true
 	}
--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -27,20 +27,20 @@
 		return
 	}
 	w.probed = time.Now()
-	alive := make([]bool, len(members))
+	seen := make([]Presence, len(members))
 	wg := sync.WaitGroup{}
 	for i, m := range members {
 		wg.Go(func() {
 			call, stop := context.WithTimeout(ctx, probeTimeout)
 			defer stop()
-			alive[i] = c.Probe(call, m)
+			seen[i] = c.Probe(call, m)
 		})
 	}
 	wg.Wait()
 	for i, m := range members {
-		w.count(c, m, alive[i])
+		w.count(c, m, seen[i])
 	}
-	c.Log.Info("runners were probed", "domain", d.name, "runners", ids(members), "alive", alive, "ms", time.Since(w.probed).Milliseconds())
+	c.Log.Info("runners were probed", "domain", d.name, "runners", ids(members), "seen", seen, "ms", time.Since(w.probed).Milliseconds())
 }
 
 // doubtful returns the runners to probe.
@@ -92,29 +92,57 @@
 	return Member{}, false
 }
 
-func (w *worker) count(c *Controller, m Member, isAlive bool) {
-	if isAlive {
-		w.answeredAt = time.Now()
+// count notes what a probe showed.
+func (w *worker) count(c *Controller, m Member, p Presence) {
+	now := time.Now()
+	w.noteIdle(c, m, p, now)
+	if p == Answers {
+		w.answeredAt = now
+		w.misses[m.ID] = 0
+		delete(w.silent, m.ID)
+		delete(w.dead, m.ID)
+		return
 	}
-	if isAlive || c.AnswersOthers(m.ID) {
+	if c.AnswersOthers(m.ID) {
 		w.misses[m.ID] = 0
 		delete(w.silent, m.ID)
-		if isAlive {
-			delete(w.dead, m.ID)
-		}
 		return
 	}
 	if _, ok := w.silent[m.ID]; !ok {
-		w.silent[m.ID] = time.Now()
+		w.silent[m.ID] = now
 	}
 	c.noteDoubt(m)
 	w.misses[m.ID]++
 	if w.misses[m.ID] >= missesUntilDead && !w.dead[m.ID] {
 		w.dead[m.ID] = true
-		c.Log.Warn("runner does not answer", "runner", m.ID, "address", m.Address, "probes", w.misses[m.ID])
+		c.Log.Warn("runner does not answer", "runner", m.ID, "address", m.Address, "probes", w.misses[m.ID], "refuses", p == Refuses)
 	}
 }
 
+// noteIdle notes since when a runner that refuses connections has had no request
+// in flight.
+func (w *worker) noteIdle(c *Controller, m Member, p Presence, now time.Time) {
+	if p != Refuses {
+		delete(w.refusing, m.ID)
+		delete(w.idle, m.ID)
+		return
+	}
+	w.refusing[m.ID] = true
+	_, known := w.idle[m.ID]
+	switch {
+	case c.InFlight(m.ID) > 0:
+		delete(w.idle, m.ID)
+	case !known:
+		w.idle[m.ID] = now
+	}
+}
+
+// String names the presence.
+func (p Presence) String() string { return [...]string{"silent", "refuses", "answers"}[p] }
+
+// MarshalText names the presence in logs.
+func (p Presence) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
 // Doubts returns the runners that do not answer this node, with their addresses,
 // so that other nodes can try them.
 func (c *Controller) Doubts() map[string]string {
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -90,6 +90,19 @@
 	Rejected
 )
 
+// Presence is what a probe of a runner showed.
+type Presence int
+
+// The presences.
+const (
+	// Silent is a runner from which nothing comes.
+	Silent Presence = iota
+	// Refuses is a runner that takes no connections: it has ended, or is leaving
+	// and finishes what it has.
+	Refuses
+	Answers
+)
+
 // Send sends an order.
 type Send func(ctx context.Context, o Order) Result
 
@@ -114,6 +127,10 @@
 	StallTime time.Duration
 	// ReachedFor is for how long some runner of the domain has been in reach.
 	ReachedFor time.Duration
+	// Refusing are the runners that take no connections.
+	Refusing map[string]bool
+	// IdleSince is since when refusing runners have had no request in flight.
+	IdleSince map[string]time.Time
 	// AnsweredAgo is how long ago some runner of the domain answered a probe.
 	AnsweredAgo time.Duration
 	// Silent is since when runners have answered no node.
--- a/internal/fleet/former/worker.go
+++ b/internal/fleet/former/worker.go
@@ -20,6 +20,8 @@
 	misses   map[string]int
 	dead     map[string]bool
 	silent   map[string]time.Time
+	refusing map[string]bool
+	idle     map[string]time.Time
 	last     map[string]string
 	loading  map[string]load
 	warming  map[string]time.Time
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -42,6 +42,9 @@
 	HandOverEvery float64 `json:"hand_over_every_s"`
 	// ViewLag is by how much the views of all controllers but the first lag.
 	ViewLag float64 `json:"view_lag_s"`
+	// VanishEvery is how often a VM leaves without a word: it is no longer listed,
+	// takes no connections and finishes what it has.
+	VanishEvery float64 `json:"vanish_every_s"`
 	// MinOpen is the share of the time in which at least one replica of each
 	// model must be open.
 	MinOpen float64 `json:"min_open"`
@@ -65,8 +68,9 @@
 	seen    map[string]bool
 	fence   int64
 	maxSeen int64
-	gone    time.Time
 	listed  bool
+	// deaf says that it takes no connections any more.
+	deaf bool
 }
 
 // world is a domain with its store.
@@ -142,7 +146,7 @@
 	time.Sleep(2 * time.Millisecond)
 	w.mu.Lock()
 	v := w.vms[o.Runner.ID]
-	reachable := v != nil && v.alive && !w.cut
+	reachable := v != nil && v.alive && !v.deaf && !w.cut
 	late := reachable && w.rand.Float64() < w.s.LateShare
 	delay := time.Duration(2000+w.rand.IntN(10000)) * time.Millisecond
 	w.mu.Unlock()
@@ -329,15 +333,29 @@
 			defer mu.Unlock()
 			return at
 		},
-		Probe: func(ctx context.Context, m Member) bool {
+		Probe: func(ctx context.Context, m Member) Presence {
 			w.mu.Lock()
 			v := w.vms[m.ID]
-			ok := v != nil && v.alive && !w.cut
+			presence := Answers
+			switch {
+			case !v.alive, w.cut:
+				presence = Silent
+			case v.deaf:
+				presence = Refuses
+			}
 			w.mu.Unlock()
-			if !ok {
+			if presence == Silent {
 				<-ctx.Done()
 			}
-			return ok
+			return presence
+		},
+		InFlight: func(id string) int {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if v := w.vms[id]; v.alive && v.part == tracker.MemberOpen {
+				return 1
+			}
+			return 0
 		},
 		Owns:           func(string, string) bool { return w.owner(i) },
 		Creates:        func(string) bool { return true },
@@ -401,6 +419,9 @@
 			w.mu.Unlock()
 		}()
 	}
+	if len(ids) > 2 && chance(w.s.VanishEvery) {
+		w.vanish(w.vms[ids[w.rand.IntN(len(ids))]])
+	}
 	if chance(w.s.AddEvery) {
 		w.add()
 	}
@@ -409,6 +430,18 @@
 	}
 }
 
+// vanish has a VM leave without a word.
+func (w *world) vanish(v *vm) {
+	v.listed, v.deaf = false, true
+	d := time.Duration(3000+w.rand.IntN(6000)) * time.Millisecond
+	go func() {
+		time.Sleep(d)
+		w.mu.Lock()
+		v.alive = false
+		w.mu.Unlock()
+	}()
+}
+
 func (w *world) crash(v *vm) {
 	v.alive = false
 	boot := v.boot
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -183,7 +183,7 @@
 		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
 	}
 	n.former = &former.Controller{
-		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, Owns: n.owns, Creates: n.creates,
+		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, InFlight: n.balancer.InFlight, Owns: n.owns, Creates: n.creates,
 		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, StoreFailed: n.noteStoreFailed, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
 	}
 }
@@ -240,7 +240,7 @@
 func (n *Node) probe(id, address string) bool {
 	ctx, stop := context.WithTimeout(context.Background(), doubtTimeout)
 	defer stop()
-	return n.Ports.Probe(ctx, former.Member{ID: id, Address: address})
+	return n.Ports.Probe(ctx, former.Member{ID: id, Address: address}) == former.Answers
 }
 
 // answersOthers reports whether another node lately got an answer from a runner.
--- a/internal/node/server/settings.go
+++ b/internal/node/server/settings.go
@@ -58,7 +58,7 @@
 	// DecodeRunner reads a runner's entry.
 	DecodeRunner func(id string, spec []byte) (*tracker.Runner, error)
 	Send         former.Send
-	Probe        func(ctx context.Context, m former.Member) bool
+	Probe        func(ctx context.Context, m former.Member) former.Presence
 	Wire         *relayer.Wire
 	// ParseRequest reads a caller's request, without its body.
 	ParseRequest func(r *http.Request) *admitter.Incoming
