Take no echo of an earlier process for word about this one

Change: an echo carries the start of the process from which the stamp is; a moment to come confirms nothing and is logged as an error.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -51,8 +51,9 @@
 const (
 	beatKind    = 1
 	changesKind = 2
-	// echoBytes is the length of the echo that comes before a beat.
-	echoBytes = 8
+	// echoBytes is the length of the echo that comes before a beat: the receiver's
+	// last stamp and the start of its process, from which that stamp is.
+	echoBytes = 16
 )
 
 var (
@@ -202,6 +203,7 @@
 	address    *net.UDPAddr
 	dataCenter string
 	stamp      int64
+	start      int64
 }
 
 func (b *Beater) send(conn *net.UDPConn) {
@@ -218,7 +220,7 @@
 			message = b.encode(conn, d.dataCenter, sequence, isRemote && len(to) > manyNodes)
 			encoded[d.dataCenter] = message
 		}
-		binary.BigEndian.PutUint64(message[1:], uint64(d.stamp))
+		setEcho(message, d.stamp, d.start)
 		b.write(conn, message, d.address)
 	}
 }
@@ -233,7 +235,7 @@
 		d := destination{address: a}
 		seen := b.added[name]
 		if p, ok := b.peers[name]; ok {
-			d.dataCenter, d.stamp = p.DataCenter, p.Stamp
+			d.dataCenter, d.stamp, d.start = p.DataCenter, p.Stamp, p.Start
 			if p.SeenAt.After(seen) {
 				seen = p.SeenAt
 			}
@@ -327,7 +329,7 @@
 		if beat.Node == "" {
 			return errBadDatagram
 		}
-		beat.Echo = int64(binary.BigEndian.Uint64(message[1:]))
+		beat.Echo = b.echo(message)
 		if b.note(beat, from) && b.Received != nil {
 			b.Received(beat)
 		}
@@ -348,6 +350,21 @@
 	return nil
 }
 
+// setEcho sets the echo of an encoded beat.
+func setEcho(message []byte, stamp, start int64) {
+	binary.BigEndian.PutUint64(message[1:], uint64(stamp))
+	binary.BigEndian.PutUint64(message[1+echoBytes/2:], uint64(start))
+}
+
+// echo returns the stamp that a beat echoes, or 0 if it is from an earlier process
+// of this node. The clock of stamps may have started anew since.
+func (b *Beater) echo(message []byte) int64 {
+	if int64(binary.BigEndian.Uint64(message[1+echoBytes/2:])) != b.start {
+		return 0
+	}
+	return int64(binary.BigEndian.Uint64(message[1:]))
+}
+
 // note keeps a beat and reports whether it is news.
 func (b *Beater) note(beat *Beat, from *net.UDPAddr) bool {
 	if beat.Node == b.Self {
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -100,6 +100,33 @@
 	}
 }
 
+// TestEchoOfEarlierStart checks that a stamp which an earlier process of the node
+// has sent is not taken for one of this process: the clock may have started anew.
+func TestEchoOfEarlierStart(t *testing.T) {
+	got := []int64{}
+	b := &Beater{Self: "a", Log: slog.New(slog.DiscardHandler), Received: func(x *Beat) { got = append(got, x.Echo) }}
+	b.start = 2000
+	other := &Beater{Self: "b", Log: b.Log, Fill: func(*Beat, string, bool) {}}
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
+	conn, err := net.ListenUDP("udp4", from4())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck
+	for sequence, start := range []int64{1000, 2000} {
+		message := other.encode(conn, "", uint64(sequence+1), false)
+		setEcho(message, 77, start)
+		if err := b.take(message, from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(got) != 2 || got[0] != 0 || got[1] != 77 {
+		t.Errorf("echoes %v, wanted 0 and 77", got)
+	}
+}
+
+func from4() *net.UDPAddr { return &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
 // TestPublish checks that changes go to the nodes of the data center only, and
 // that datagrams which cannot be read do no harm.
 func TestPublish(t *testing.T) {
@@ -113,7 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, bad := range []string{"", "x", "\x01", "\x01123456789", "\x02\xff\xff"} {
+	for _, bad := range []string{"", "x", "\x01", "\x0112345678123456789", "\x02\xff\xff"} {
 		_, _ = fmt.Fprint(conn, bad)
 	}
 	a.Publish(follower.Changes{Kind: "servers", Since: 3, At: 5, Objects: []follower.Object{{Name: "i-1", Revision: 5, Spec: []byte(`{"a":1}`)}}})
@@ -136,7 +163,7 @@
 
 // FuzzDatagram feeds bytes to the reader of datagrams.
 func FuzzDatagram(f *testing.F) {
-	f.Add([]byte("\x0112345678\xa1\x01\x61a"))
+	f.Add([]byte("\x011234567812345678\xa1\x01\x61a"))
 	f.Add([]byte("\x02\xa1\x01\x61k"))
 	b := &Beater{Self: "self", Log: slog.New(slog.DiscardHandler)}
 	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -311,6 +311,10 @@
 
 // confirm moves the moment at which the copy was surely current forward.
 func (f *Follower) confirm(at time.Duration) {
+	if at > Now() {
+		f.Log.Error("word about a moment to come confirms nothing", "kind", f.Kind, "ahead_ms", (at - Now()).Milliseconds())
+		return
+	}
 	for {
 		old := f.confirmed.Load()
 		if int64(at) <= old {
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -196,6 +196,10 @@
 	if f.At() != at {
 		t.Error("an older word moved the moment")
 	}
+	f.Confirm(Copy{Changed: 4, At: 4}, Now()+time.Hour)
+	if f.Age() < 0 {
+		t.Errorf("the copy is %v old after word about a moment to come", f.Age())
+	}
 	if (&Follower{}).Age() < time.Hour {
 		t.Error("a copy that was never confirmed has an age")
 	}
