Count silence only beside answers of the same domain

All runners refused, no node had a request in flight there, and the pause in which none was listed was under 2 s, so that at the heal a head counted as gone for seconds already. Change: a round of probes without any answer drops what speaks for runners being gone; a domain of which nothing is listed is marked, however short that is.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -108,6 +108,7 @@
 // background; a domain that is still being worked on is passed over.
 func (c *Controller) Step(ctx context.Context) {
 	domains := c.domains()
+	c.noteUnlisted(domains)
 	c.createMissing(ctx, domains)
 	for _, d := range domains {
 		w := c.worker(d)
@@ -166,6 +167,22 @@
 	return list
 }
 
+// noteUnlisted notes the domains of which no runner is listed. When one is listed
+// again, the others may only be late.
+func (c *Controller) noteUnlisted(domains []*domain) {
+	listed := map[string]bool{}
+	for _, d := range domains {
+		listed[d.service.Name+"/"+d.name] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, w := range c.workers {
+		if !listed[key] {
+			w.unlisted.Store(true)
+		}
+	}
+}
+
 func (c *Controller) worker(d *domain) *worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -289,9 +306,9 @@
 		}
 	}
 	isReached := isReached(d.runners, w.dead)
-	if !isReached || now.Sub(w.workedAt) > maxPause {
+	if !isReached || w.unlisted.Swap(false) || now.Sub(w.workedAt) > maxPause {
 		clear(w.gone)
-		clear(w.silent)
+		w.forgetSilence()
 		w.reachedAt = now
 	}
 	w.workedAt = now
--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -40,6 +40,10 @@
 	for i, m := range members {
 		w.count(c, m, seen[i])
 	}
+	if !slices.Contains(seen, Answers) {
+		// The domain may be cut off; silence counts only beside answers.
+		w.forgetSilence()
+	}
 	c.Log.Info("runners were probed", "domain", d.name, "runners", ids(members), "seen", seen, "ms", time.Since(w.probed).Milliseconds())
 }
 
--- a/internal/fleet/former/worker.go
+++ b/internal/fleet/former/worker.go
@@ -10,6 +10,7 @@
 // worker is what is known about one domain.
 type worker struct {
 	busy     atomic.Bool
+	unlisted atomic.Bool
 	loaded   bool
 	revision int64
 	current  Assignment
@@ -120,3 +121,9 @@
 	}
 	return false
 }
+
+// forgetSilence drops what speaks for runners being gone.
+func (w *worker) forgetSilence() {
+	clear(w.silent)
+	clear(w.idle)
+}
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -42,6 +42,10 @@
 	HandOverEvery float64 `json:"hand_over_every_s"`
 	// ViewLag is by how much the views of all controllers but the first lag.
 	ViewLag float64 `json:"view_lag_s"`
+	// CutSeconds is how long a cut lasts.
+	CutSeconds float64 `json:"cut_s"`
+	// CutRefuses resets connections across a cut instead of being silent.
+	CutRefuses bool `json:"cut_refuses"`
 	// VanishEvery is how often a VM leaves without a word: it is no longer listed,
 	// takes no connections and finishes what it has.
 	VanishEvery float64 `json:"vanish_every_s"`
@@ -338,8 +342,10 @@
 			v := w.vms[m.ID]
 			presence := Answers
 			switch {
-			case !v.alive, w.cut:
+			case !v.alive, w.cut && !w.s.CutRefuses:
 				presence = Silent
+			case w.cut:
+				presence = Refuses
 			case v.deaf:
 				presence = Refuses
 			}
@@ -352,7 +358,7 @@
 		InFlight: func(id string) int {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if v := w.vms[id]; v.alive && v.part == tracker.MemberOpen {
+			if v := w.vms[id]; v.alive && v.part == tracker.MemberOpen && !w.cut {
 				return 1
 			}
 			return 0
@@ -478,7 +484,7 @@
 		}()
 	}
 	go func() {
-		time.Sleep(7600 * time.Millisecond)
+		time.Sleep(time.Duration(w.s.CutSeconds * float64(time.Second)))
 		w.mu.Lock()
 		w.cut = false
 		vms := []*vm{}
