--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -60,6 +60,8 @@
 	// Creates says whether this node creates the assignments of new domains of a
 	// data center.
 	Creates func(dataCenter string) bool
+	// Waits, if set, says whether requests for a model wait at this node.
+	Waits func(service, model string) bool
 	// Suspects returns the IDs of heads that some node has seen stand still.
 	Suspects func() map[string]bool
 	// AnswersOthers reports whether another node lately got an answer from a
@@ -222,6 +224,10 @@
 	if !w.loaded || c.ViewAt() < w.readAt {
 		return
 	}
+	c.reassign(ctx, w, d)
+	if !w.loaded {
+		return
+	}
 	c.probe(ctx, w, d)
 	in := c.input(w, d, domains)
 	out := Decide(in)
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -49,6 +49,7 @@
 		return d.out
 	}
 	d.out.Assignment.Replicas = nil
+	d.goal = in.Assignment.goal(in.Engine.Models, d.available())
 	for _, r := range in.Assignment.Replicas {
 		if d.advance(&r) {
 			d.out.Assignment.Replicas = append(d.out.Assignment.Replicas, r)
@@ -112,12 +113,28 @@
 			return "member " + m.ID + " is leaving", true
 		}
 	}
+	if r.State == Open && d.isUnwanted(r) && !d.isChanging() {
+		return "the domain serves another model", true
+	}
 	if since, ok := d.in.Since[r.Name]; ok && r.State == Forming && d.in.Now.Sub(since) > d.formTimeout(r.Model) {
 		return "not formed in time", false
 	}
 	return "", false
 }
 
+// isUnwanted reports whether a replica's model is no longer the domain's.
+func (d *decider) isUnwanted(r *Replica) bool {
+	_, ok := d.goal[r.Model]
+	return !ok && d.in.Assignment.Model != ""
+}
+
+// isChanging reports whether a replica is forming or closing. Replicas of another
+// model close one after the other, so that the others serve meanwhile.
+func (d *decider) isChanging() bool {
+	isChanging := func(r Replica) bool { return r.State != Open }
+	return slices.ContainsFunc(d.out.Assignment.Replicas, isChanging) || slices.ContainsFunc(d.in.Assignment.Replicas, isChanging)
+}
+
 func (d *decider) formTimeout(model string) time.Duration {
 	for _, m := range d.in.Engine.Models {
 		if m.Name == model {
@@ -254,15 +271,19 @@
 	return true
 }
 
-// form starts new replicas and returns the runners that are still free.
-func (d *decider) form(free []*tracker.Runner) []*tracker.Runner {
-	available := 0
+// available returns how many runners could be members.
+func (d *decider) available() int {
+	n := 0
 	for _, x := range d.in.Runners {
 		if x.State == tracker.Ready && !d.in.Dead[x.ID] {
-			available++
+			n++
 		}
 	}
-	d.goal = d.out.Assignment.goal(d.in.Engine.Models, available)
+	return n
+}
+
+// form starts new replicas and returns the runners that are still free.
+func (d *decider) form(free []*tracker.Runner) []*tracker.Runner {
 	for {
 		counts, joining := d.counts()
 		if d.in.IsEarly && joining > 0 {
--- a/internal/fleet/former/goal_test.go
+++ b/internal/fleet/former/goal_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"os"
+	"slices"
 	"testing"
 
 	"marjorammoor/internal/serving/matcher"
@@ -61,6 +62,36 @@
 	}
 }
 
+// TestReassignments reads testdata/reassignments.json: which domain goes to a
+// model that none serves.
+func TestReassignments(t *testing.T) {
+	list := []struct {
+		Name     string            `json:"name"`
+		Models   []string          `json:"models"`
+		Unwanted []string          `json:"unwanted"`
+		Domains  map[string]string `json:"domains"`
+		Domain   string            `json:"domain"`
+		Model    string            `json:"model"`
+	}{}
+	readJSON(t, "testdata/reassignments.json", &list)
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) {
+			models := []matcher.Model{}
+			for _, name := range x.Models {
+				models = append(models, matcher.Model{Name: name, Size: 2, InitialShare: 0.5})
+			}
+			assignments := []Assignment{}
+			for domain, model := range x.Domains {
+				assignments = append(assignments, Assignment{Domain: domain, Model: model})
+			}
+			wanted := func(m matcher.Model) bool { return !slices.Contains(x.Unwanted, m.Name) }
+			if domain, model := chooseReassigned(models, assignments, wanted); domain != x.Domain || domain != "" && model != x.Model {
+				t.Errorf("domain %q goes to %q, wanted %q to %q", domain, model, x.Domain, x.Model)
+			}
+		})
+	}
+}
+
 func readJSON(t *testing.T, path string, out any) {
 	t.Helper()
 	b, err := os.ReadFile(path)
--- a/internal/fleet/former/worker.go
+++ b/internal/fleet/former/worker.go
@@ -40,6 +40,9 @@
 	readAt time.Duration
 	// triedAt is when reading the assignment was last tried.
 	triedAt time.Time
+	// lackingAt is since when a model has no target, lookedAt when the domains
+	// were last looked at for that.
+	lackingAt, lookedAt time.Time
 }
 
 // load is an order to stage weights that may still be carried out.
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -52,6 +52,14 @@
 	// MinOpen is the share of the time in which at least one replica of each
 	// model must be open.
 	MinOpen float64 `json:"min_open"`
+	// Model is what the domain serves from the start; empty means all models.
+	Model string `json:"model"`
+	// Elsewhere are the models of other domains.
+	Elsewhere []string `json:"elsewhere"`
+	// MinOpenOf replaces MinOpen for some models.
+	MinOpenOf map[string]float64 `json:"min_open_of"`
+	// MaxOpenOf is the most for models that the domain should no longer serve.
+	MaxOpenOf map[string]float64 `json:"max_open_of"`
 }
 
 // vm is a runner of the world as it really is.
@@ -112,6 +120,13 @@
 	for range s.Runners {
 		w.add()
 	}
+	if s.Model != "" {
+		b, err := json.Marshal(Assignment{Service: "pool", Domain: "d0", DataCenter: "dc", Model: s.Model})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.object, w.revision = b, 1
+	}
 	return w
 }
 
@@ -293,7 +308,15 @@
 			if w.revision == 0 {
 				return nil, 0, nil
 			}
-			return []follower.Object{{Name: "pool--d0", Revision: w.revision, Spec: slices.Clone(w.object)}}, w.revision, nil
+			objects := []follower.Object{{Name: "pool--d0", Revision: w.revision, Spec: slices.Clone(w.object)}}
+			for i, model := range w.s.Elsewhere {
+				b, err := json.Marshal(Assignment{Service: "pool", Domain: fmt.Sprintf("e%d", i), Model: model})
+				if err != nil {
+					return nil, 0, err
+				}
+				objects = append(objects, follower.Object{Name: fmt.Sprintf("pool--e%d", i), Spec: b})
+			}
+			return objects, w.revision, nil
 		},
 		Get: func(context.Context, string, string) (follower.Object, error) {
 			time.Sleep(4 * time.Millisecond)
@@ -575,8 +598,16 @@
 		t.Errorf("seed %d: %s", seed, x)
 	}
 	for _, m := range w.engine.Models {
-		if share := float64(w.open[m.Name]) / float64(w.ticks); share < s.MinOpen {
-			t.Errorf("seed %d: a replica of %s was open for %.2f of the time, wanted %.2f", seed, m.Name, share, s.MinOpen)
+		wanted, ok := s.MinOpenOf[m.Name]
+		if !ok {
+			wanted = s.MinOpen
+		}
+		share := float64(w.open[m.Name]) / float64(w.ticks)
+		if share < wanted {
+			t.Errorf("seed %d: a replica of %s was open for %.2f of the time, wanted %.2f", seed, m.Name, share, wanted)
+		}
+		if most, ok := s.MaxOpenOf[m.Name]; ok && share > most {
+			t.Errorf("seed %d: a replica of %s was open for %.2f of the time, at most %.2f is wanted", seed, m.Name, share, most)
 		}
 	}
 }
--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -72,6 +72,7 @@
 	ReasonStale              Reason = "configuration_stale"
 	ReasonNoConfiguration    Reason = "no_configuration"
 	ReasonUnknownRoute       Reason = "unknown_route"
+	ReasonUnknownModel       Reason = "unknown_model"
 )
 
 // The headers of answers.
--- a/internal/proof/mutator/list_test.go
+++ b/internal/proof/mutator/list_test.go
@@ -20,6 +20,8 @@
 	// Package and Run name the test that must fail.
 	Package string `json:"package"`
 	Run     string `json:"run"`
+	// Args are further arguments of the test.
+	Args []string `json:"args"`
 }
 
 func mutants(t *testing.T) []mutant {
--- a/internal/proof/mutator/mutants_test.go
+++ b/internal/proof/mutator/mutants_test.go
@@ -36,7 +36,7 @@
 			if out, err := build.CombinedOutput(); err != nil {
 				t.Fatalf("the mutant does not build: %s", out)
 			}
-			run := exec.Command("go", "test", m.Package, "-run", m.Run, "-count", "1", "-timeout", "5m")
+			run := exec.Command("go", append([]string{"test", m.Package, "-run", m.Run, "-count", "1", "-timeout", "5m"}, m.Args...)...)
 			run.Dir = dir
 			out, err := run.CombinedOutput()
 			if err == nil {
--- a/internal/proof/tester/cluster_test.go
+++ b/internal/proof/tester/cluster_test.go
@@ -55,6 +55,8 @@
 	// ready says that the balancer sends callers to the node.
 	ready  atomic.Bool
 	exited chan struct{}
+	// ending says that the test has asked the process to end.
+	ending atomic.Bool
 }
 
 // link is the proxy from one process to another.
@@ -324,15 +326,32 @@
 		return err
 	}
 	p.cmd, p.running = cmd, true
+	p.ending.Store(false)
 	exited := make(chan struct{})
 	p.exited = exited
 	go func() {
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		if !p.ending.Load() {
+			c.failures.add("%s (pid %d) ended by itself: %s (%v); its last output:\n%s",
+				p.name, cmd.Process.Pid, cmd.ProcessState, err, lastOutput(log.Name()))
+		}
 		close(exited)
 	}()
 	return nil
 }
 
+// maxOutput is how many bytes of a process's output a failure shows.
+const maxOutput = 8 << 10
+
+// lastOutput returns the end of a file of logs.
+func lastOutput(path string) []byte {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return b[max(len(b)-maxOutput, 0):]
+}
+
 func findProgram(path, name string) (string, error) {
 	for _, dir := range filepath.SplitList(path) {
 		full := filepath.Join(dir, name)
@@ -354,6 +373,7 @@
 
 // kill ends a process at once and waits until it is gone.
 func (p *process) kill() error {
+	p.ending.Store(true)
 	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -363,6 +383,7 @@
 
 // terminate asks a process to stop and waits until it has.
 func (p *process) terminate(timeout time.Duration) error {
+	p.ending.Store(true)
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -385,6 +406,7 @@
 	}
 	for _, p := range c.procs {
 		p.mu.Lock()
+		p.ending.Store(true)
 		if p.cmd != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGKILL)
 			p.mu.Unlock()
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -15,6 +15,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
@@ -92,9 +94,21 @@
 		return nil, failure
 	}
 	a.complete(c, in, call)
+	if !isServed(call) {
+		return nil, unsure(in, responder.ReasonUnknownModel, "the configuration has no model "+strconv.Quote(in.Model))
+	}
 	return call, nil
 }
 
+// isServed reports whether the call's service has the call's model. Waiting for a
+// replica of another one would be in vain.
+func isServed(call *relayer.Call) bool {
+	if call.Engine == nil || len(call.Engine.Models) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(call.Engine.Models, func(m matcher.Model) bool { return m.Name == call.Model })
+}
+
 // identify finds the caller's team.
 func (a *Admitter) identify(c *matcher.Catalog, in *Incoming, call *relayer.Call, age time.Duration) *responder.Failure {
 	if !c.HasTeams || call.Route.Public {
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -16,6 +16,7 @@
 	Host      string           `json:"host"`
 	Path      string           `json:"path"`
 	Key       string           `json:"key"`
+	Model     string           `json:"model"`
 	AgeMS     int64            `json:"age_ms"`
 	NoCatalog bool             `json:"no_catalog"`
 	NoID      bool             `json:"no_id"`
@@ -27,14 +28,16 @@
 }
 
 func catalog() *matcher.Catalog {
-	c := &matcher.Catalog{Version: 3, HasTeams: true, Services: map[string]*matcher.Service{"one": {Name: "one"}, "two": {Name: "two"}}}
+	c := &matcher.Catalog{Version: 3, HasTeams: true, Services: map[string]*matcher.Service{"one": {Name: "one"}, "two": {Name: "two"}, "engine": {
+		Name: "engine", Engine: &matcher.Engine{Models: []matcher.Model{{Name: "m", Size: 2}}},
+	}, "plain_engine": {Name: "plain_engine", Engine: &matcher.Engine{}}}}
 	route := func(prefix, service string, priority int, public bool) *matcher.Route {
 		return &matcher.Route{
 			Host: "A.example", PathPrefix: prefix, Priority: priority, Public: public, Timeout: time.Second,
 			Targets: []matcher.Target{{Service: service, Weight: 1}, {Service: "never", Weight: 0}},
 		}
 	}
-	c.AddRoutes([]*matcher.Route{route("/x/", "one", 4, false), route("/x/y/", "two", 4, false), route("/open/", "one", 5, true)})
+	c.AddRoutes([]*matcher.Route{route("/x/", "one", 4, false), route("/x/y/", "two", 4, false), route("/open/", "one", 5, true), route("/m/", "engine", 5, true), route("/p/", "plain_engine", 5, true)})
 	c.AddCredential("k1", &matcher.Team{Name: "red", Priority: 1, HasPriority: true})
 	c.AddCredential("k2", &matcher.Team{Name: "blue"})
 	return c
@@ -63,7 +66,7 @@
 		Catalog: func() *matcher.Catalog { return c }, RevocationTimeout: 5 * time.Second,
 		Age: func() time.Duration { return time.Duration(x.AgeMS) * time.Millisecond },
 	}
-	in := &Incoming{ID: "q", Host: x.Host, Path: x.Path, Credential: x.Key, Timeout: 4 * time.Second, Arrived: time.Now()}
+	in := &Incoming{ID: "q", Host: x.Host, Path: x.Path, Credential: x.Key, Model: x.Model, Timeout: 4 * time.Second, Arrived: time.Now()}
 	if x.NoID {
 		in.ID = ""
 	}
--- a/internal/serving/balancer/lane.go
+++ b/internal/serving/balancer/lane.go
@@ -22,6 +22,17 @@
 	waiting []*waiter
 }
 
+// Waits reports whether requests for a model wait for a place.
+func (b *Balancer) Waits(service, model string) bool {
+	l, ok := b.lanes.Get(laneKey{service, model})
+	if !ok {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) > 0
+}
+
 type waiter struct {
 	request *Request
 	ready   chan *Place
