Let a suspicion of a silent target end; count no pause of the node as silence

A node that suspects a target tells the others, which hold it back for 2.5 s and told that in turn as their own suspicion. The first node took it back from them, so the nodes kept it alive among each other for good. It had begun with a frozen node that, on going on, took its own pause of 3 s for silence of its targets. Ruled out: lost places (no request was in flight), formation (all open), probes (all answered). Change: beats carry only suspicions from what the node saw itself; stalls are counted from when the node resumed after a pause of its own. Tests, both seen failing first: TestSuspicionEnds (still suspected after 12 s, beats every 128 ms), TestPausedNode.

--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	firstStallAfter = 1300 * time.Millisecond
 	// suspectFor is how long a target that stalled gets no requests.
 	suspectFor = 5 * time.Second
+	// maxCheckPause is above the usual time between two looks for stalled targets.
+	// After a longer one the node itself stood still.
+	maxCheckPause = 400 * time.Millisecond
 )
 
 var stalls = metrics.NewCounter(`marjorammoor_targets_suspected_total`)
@@ -83,6 +87,11 @@
 	// waiting is how many requests wait in all lanes.
 	waiting atomic.Int64
 	lanes   sharder.Map[laneKey, *lane]
+
+	checkMu sync.Mutex
+	// checkedAt is when stalls were last looked for, resumedAt when this was done
+	// for the first time after a pause.
+	checkedAt, resumedAt time.Time
 }
 
 func (b *Balancer) load(id string) *Load {
@@ -172,11 +181,12 @@
 func (b *Balancer) Clear(id string) {
 	l := b.load(id)
 	l.mu.Lock()
-	l.suspected, l.avoid, l.failures = time.Time{}, time.Time{}, 0
+	l.suspected, l.ownSuspicion, l.avoid, l.failures = time.Time{}, time.Time{}, time.Time{}, 0
 	l.mu.Unlock()
 }
 
-// Counts returns what this node has in flight, and the targets it suspects.
+// Counts returns what this node has in flight, and the targets that it suspects
+// by what it saw itself.
 func (b *Balancer) Counts() (counts map[string]int, suspects []string) {
 	now := time.Now()
 	counts = map[string]int{}
@@ -186,7 +196,7 @@
 		if len(l.own) > 0 {
 			counts[id] = len(l.own)
 		}
-		if now.Before(l.suspected) {
+		if now.Before(l.ownSuspicion) {
 			suspects = append(suspects, id)
 		}
 		return true
@@ -242,6 +252,7 @@
 // sent nothing for too long, and tells those requests to move.
 func (b *Balancer) CheckStalls() {
 	now := time.Now()
+	resumed := b.noteCheck(now)
 	for _, t := range b.View().All() {
 		if t.Model == "" {
 			continue
@@ -250,7 +261,7 @@
 		if !ok {
 			continue
 		}
-		if moves, idle := l.stalled(now); len(moves) > 0 {
+		if moves, idle := l.stalled(now, resumed); len(moves) > 0 {
 			stalls.Inc()
 			if b.Suspected != nil {
 				b.Suspected(t, idle)
@@ -262,8 +273,20 @@
 	}
 }
 
-// stalled returns the moves of a target's requests if it shows no progress.
-func (l *Load) stalled(now time.Time) ([]func(error), time.Duration) {
+// noteCheck returns when this node last went on after a pause.
+func (b *Balancer) noteCheck(now time.Time) time.Time {
+	b.checkMu.Lock()
+	defer b.checkMu.Unlock()
+	if now.Sub(b.checkedAt) > maxCheckPause {
+		b.resumedAt = now
+	}
+	b.checkedAt = now
+	return b.resumedAt
+}
+
+// stalled returns the moves of a target's requests if it shows no progress since
+// the node resumed.
+func (l *Load) stalled(now, resumed time.Time) ([]func(error), time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.own) == 0 {
@@ -283,11 +306,15 @@
 	if oldest.After(since) {
 		since = oldest
 	}
+	if resumed.After(since) {
+		since = resumed
+	}
 	idle := now.Sub(since)
 	if idle < limit {
 		return nil, idle
 	}
 	l.suspected = now.Add(suspectFor)
+	l.ownSuspicion = l.suspected
 	return l.takeMoves(now), idle
 }
 
--- a/internal/serving/balancer/balancer_test.go
+++ b/internal/serving/balancer/balancer_test.go
@@ -192,3 +192,93 @@
 		t.Fatalf("error %v, wanted ErrNoTarget", err)
 	}
 }
+
+// exchange tells each balancer what the others suspected a little earlier, as
+// beats do.
+func exchange(list []*Balancer) {
+	told := [][]string{}
+	for _, from := range list {
+		_, suspects := from.Counts()
+		told = append(told, suspects)
+	}
+	time.Sleep(20 * time.Millisecond)
+	for i := range list {
+		for _, to := range list[:i] {
+			for _, id := range told[i] {
+				to.Suspect(id)
+			}
+		}
+		for _, to := range list[i+1:] {
+			for _, id := range told[i] {
+				to.Suspect(id)
+			}
+		}
+	}
+}
+
+// TestSuspicionEnds checks that nodes do not keep a suspicion alive by telling it
+// to each other once the one that had it no longer does, whatever the time
+// between two beats.
+func TestSuspicionEnds(t *testing.T) {
+	for ms := 100; ms < 200; ms += 7 {
+		synctest.Test(t, func(t *testing.T) { checkSuspicionEnds(t, time.Duration(ms)*time.Millisecond) })
+	}
+}
+
+func checkSuspicionEnds(t *testing.T, pause time.Duration) {
+	list := []*Balancer{newBalancer("m", 2, "a"), newBalancer("m", 2, "a"), newBalancer("m", 2, "a")}
+	p := acquire(t, list[0], request("m", 1, 0, time.Second))
+	p.OnMove(func(error) { p.Release() })
+	wasTold := false
+	for start := time.Now(); time.Since(start) < 12*time.Second; {
+		time.Sleep(pause)
+		for _, b := range list {
+			b.CheckStalls()
+		}
+		exchange(list)
+		wasTold = wasTold || isHeld(list[1], "a")
+	}
+	if !wasTold {
+		t.Error("the other nodes never heard of the stalled target")
+	}
+	for i, b := range list {
+		if isHeld(b, "a") {
+			t.Errorf("beats every %v: node %d still suspects the target", pause, i)
+		}
+	}
+}
+
+func isHeld(b *Balancer, id string) bool {
+	l := b.load(id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.suspected)
+}
+
+// TestPausedNode checks that a node that stood still does not take its own pause
+// for silence of its targets.
+func TestPausedNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("m", 2, "a")
+		moved := false
+		p := acquire(t, b, request("m", 1, 0, time.Second))
+		p.OnMove(func(error) { moved = true })
+		p.Progress()
+		for range 5 {
+			b.CheckStalls()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		b.CheckStalls()
+		if moved || isHeld(b, "a") {
+			t.Error("the target is suspected after a pause of the node")
+		}
+		for range 8 {
+			time.Sleep(100 * time.Millisecond)
+			b.CheckStalls()
+		}
+		if !moved || !isHeld(b, "a") {
+			t.Error("a target that stays silent after the pause is not suspected")
+		}
+	})
+}
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -31,7 +31,10 @@
 	progress  time.Time
 	avoid     time.Time
 	suspected time.Time
-	failures  float64
+	// ownSuspicion is until when this node itself suspects the target. Only that
+	// is told to other nodes, or they would keep the suspicion alive among them.
+	ownSuspicion time.Time
+	failures     float64
 }
 
 type peerLoad struct {
