Draw targets by their free places instead of taking the least loaded

Cause: the choice of a target had never been compared with plain policies. All nodes have much the same figures, up to a beat old, and chose the same target between two beats; the small random part that was to prevent it was too small. Change: a target is drawn with a weight of its free places less its failures; one in another data center counts 0.4 of that.

--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -22,15 +22,11 @@
 )
 
 const (
-	// remoteCost is how many requests in flight a target in another data center
-	// is worse by.
-	remoteCost = 1.5
-	// tieSpread separates targets of like load, so that nodes with the same
-	// figures do not all choose the same one.
-	tieSpread = 1.0
-	// remoteSpread does so for targets of other data centers, whose load is known
-	// later.
-	remoteSpread = 4.0
+	// remoteShare is by how much a target in another data center is less likely to
+	// be drawn than one in this data center with as many free places.
+	remoteShare = 0.4
+	// minWeight lets a target with failures be drawn at times.
+	minWeight = 0.25
 	// stallAfter is how long a target that has sent a part of an answer may send
 	// nothing. It is above the time that a pass with the longest prompts takes.
 	stallAfter = 700 * time.Millisecond
@@ -204,13 +200,13 @@
 	return counts, suspects
 }
 
-// take reserves the best target with room, or returns nil. found says whether
+// take draws a target with room and reserves a place, or returns nil. found says whether
 // there is any target that is not held to be broken.
 func (b *Balancer) take(l *lane, r *Request) (place *Place, found bool) {
 	now := time.Now()
 	var best Target
 	var bestLoad *Load
-	bestScore := 0.0
+	bestKey := 0.0
 	for _, t := range b.View().Targets(r.Service, r.Model) {
 		if r.hasTried(t.ID) {
 			continue
@@ -228,14 +224,9 @@
 		if n >= t.Slots {
 			continue
 		}
-		score := float64(n) + failures*failureCost
-		if t.DataCenter == b.DataCenter {
-			score += rand.Float64() * tieSpread
-		} else {
-			score += remoteCost + rand.Float64()*remoteSpread
-		}
-		if best == nil || score < bestScore {
-			best, bestLoad, bestScore = t, load, score
+		key := rand.ExpFloat64() / b.weight(t, n, failures)
+		if best == nil || key < bestKey {
+			best, bestLoad, bestKey = t, load, key
 		}
 	}
 	if best == nil {
@@ -248,6 +239,17 @@
 	return p, true
 }
 
+// weight is how likely a target is drawn, against others: by its free places. All
+// nodes have much the same figures, which are up to a beat old, and would all
+// choose the same target if each took the one with most free places.
+func (b *Balancer) weight(t Target, inFlight int, failures float64) float64 {
+	w := max(float64(t.Slots-inFlight)-failures*failureCost, minWeight)
+	if t.DataCenter != b.DataCenter {
+		w *= remoteShare
+	}
+	return w
+}
+
 // CheckStalls suspects the targets that have requests from this node but have
 // sent nothing for too long, and tells those requests to move.
 func (b *Balancer) CheckStalls() {
