Reload settings at SIGHUP and when the file changes; pass changes on in a tree

Cause: two gaps. And the node that watches the store sent each change, about 450 bytes of it, to every node of its data center: 1.6 MB/s at 100 machines (bound 6 KB/s), and batches over 60 KB were not passed on at all. Ruled out for the settings: a new start of the process by itself at each change, which breaks connections for a change of a bound. Change: the file is read again at SIGHUP and each 2 s; limits and bounds are in force at once and logged, bad settings change nothing and name the key. Changes are compressed (300 entries: 110 KB to 8.7 KB) and, with more than 12 nodes, passed on by about the square root of their number. The effect at 100 machines is not measured yet.

--- a/internal/cli/commander/platform.go
+++ b/internal/cli/commander/platform.go
@@ -17,7 +17,8 @@
 // serveOnPlatform runs a node on the users' platform until SIGINT or SIGTERM.
 // Log lines go to out as JSON.
 func serveOnPlatform(out io.Writer) error {
-	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -30,9 +31,13 @@
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("node", s.NodeName)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// The settings of a process are read at its start only.
-	signal.Ignore(syscall.SIGHUP)
-	if err := platform.NewNode(s, log).Run(ctx); err != nil {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	node := platform.NewNode(s, log)
+	watcher := &platform.Watcher{Path: path, Log: log, Changed: func(s *platform.Settings) { node.Reload(s.Product()) }}
+	wg.Go(func() { watcher.Run(ctx, reloads) })
+	if err := node.Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -77,8 +77,10 @@
 	// LoadsPerWindow is the number of loads that may begin in all domains
 	// within the store's window.
 	LoadsPerWindow func() float64
-	StallTime      time.Duration
-	Log            *slog.Logger
+	// StallTime returns how long a replica without a member stands still before
+	// it breaks.
+	StallTime func() time.Duration
+	Log       *slog.Logger
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -343,7 +345,7 @@
 	}
 	return &Input{
 		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
-		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime, Silent: w.silent, Refusing: w.refusing, IdleSince: w.idle, Last: w.last, Loading: loading, Warming: warming,
+		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime(), Silent: w.silent, Refusing: w.refusing, IdleSince: w.idle, Last: w.last, Loading: loading, Warming: warming,
 		Filled: c.filled(d.service, domains),
 		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
 		ReachedFor:  now.Sub(w.reachedAt),
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -393,7 +393,7 @@
 		LoadsElsewhere: func() int { return 0 },
 		IsEarly:        func() bool { return time.Since(w.start) < 8*time.Second },
 		LoadsPerWindow: func() float64 { return 27 },
-		StallTime:      4 * time.Second,
+		StallTime:      func() time.Duration { return 4 * time.Second },
 		Log:            slog.New(slog.DiscardHandler),
 	}
 }
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -157,10 +157,10 @@
 	started := time.Now()
 	n.stopping.Store(true)
 	n.Log.Info("node stops", "requests", n.active.Load())
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.Settings.GracePeriod-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.bounds().GracePeriod-stopMargin))
 	defer cancel()
 	go n.announcer.Withdraw(ctx)
-	time.Sleep(min(balancerDelay, n.Settings.GracePeriod/2))
+	time.Sleep(min(balancerDelay, n.bounds().GracePeriod/2))
 	if err := callers.Shutdown(ctx); err != nil {
 		n.Log.Warn("requests are broken off", "requests", n.active.Load(), "error", err)
 		_ = callers.Close()
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -96,12 +96,14 @@
 	returnUntil atomic.Int64
 	storeFailed atomic.Int64
 	membership  atomic.Pointer[membership]
+	// reloaded are the bounds since a reload; nil means those of Settings.
+	reloaded atomic.Pointer[Bounds]
 }
 
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	n.startedAt = time.Now()
-	debug.SetMemoryLimit(int64(float64(n.Settings.MemoryBytes) * memoryShare))
+	debug.SetMemoryLimit(int64(float64(n.bounds().MemoryBytes) * memoryShare))
 	debug.SetGCPercent(garbagePercent)
 	n.build()
 	n.Log.Info("node starts", "data_center", n.Settings.DataCenter, "callers", n.Settings.CallerAddress,
@@ -176,7 +178,7 @@
 		f.IsFed = func() bool { return n.isFed(f) }
 		f.Published = n.publish
 	}
-	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: s.RevocationTimeout}
+	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
 	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillBeat, Received: n.receiveBeat, Changed: n.takeChanges, Log: n.Log}
 	n.announcer = &announcer.Announcer{
 		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
@@ -184,7 +186,7 @@
 	}
 	n.former = &former.Controller{
 		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, InFlight: n.balancer.InFlight, Waits: n.balancer.Waits, Owns: n.owns, Creates: n.creates,
-		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, StoreFailed: n.noteStoreFailed, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: s.StallTime, Log: n.Log,
+		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, StoreFailed: n.noteStoreFailed, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: func() time.Duration { return n.bounds().StallTime }, Log: n.Log,
 	}
 }
 
@@ -223,17 +225,19 @@
 			rate = max(rate, s.Engine.LoadsPerSecond)
 		}
 	}
-	return rate * n.Settings.LoadWindow.Seconds() * n.Settings.LoadOvershoot
+	return rate * n.bounds().LoadWindow.Seconds() * n.bounds().LoadOvershoot
 }
 
 // budget returns the budget of repeated sends of a service. The nodes divide it
 // evenly, also with those that are out of reach.
 func (n *Node) budget(service string) *retrier.Budget {
-	burst := max(n.Settings.RetryBurst*budgetShare/float64(n.beater.Known()+1), 1)
+	bounds := n.bounds()
+	perRequest := bounds.RetryRatio * budgetShare
+	burst := max(bounds.RetryBurst*budgetShare/float64(n.beater.Known()+1), 1)
 	b := n.budgets.GetOrCreate(service, func() *retrier.Budget {
-		return &retrier.Budget{PerRequest: n.Settings.RetryRatio * budgetShare, Burst: burst}
+		return &retrier.Budget{PerRequest: perRequest, Burst: burst}
 	})
-	b.Resize(burst)
+	b.Resize(perRequest, burst)
 	return b
 }
 
--- a/internal/node/server/settings.go
+++ b/internal/node/server/settings.go
@@ -24,12 +24,17 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
-	// MemoryBytes is what the process may use.
-	MemoryBytes int64
 	// IsFirstStart says that the whole system starts for the first time.
 	IsFirstStart bool
 	// LeadTime is how long after the first start callers come.
 	LeadTime time.Duration
+	Bounds
+}
+
+// Bounds are the settings that may change while a node runs.
+type Bounds struct {
+	// MemoryBytes is what the process may use.
+	MemoryBytes int64
 	// RetryRatio and RetryBurst bound the repeated sends of all nodes together.
 	RetryRatio float64
 	RetryBurst float64
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -50,7 +50,8 @@
 // The kinds of datagrams, which are their first byte.
 const (
 	beatKind    = 1
-	changesKind = 2
+	changesKind = 3
+	relayedKind = 4
 	// echoBytes is the length of the echo that comes before a beat: the receiver's
 	// last stamp and the start of its process, from which that stamp is.
 	echoBytes = 16
@@ -266,29 +267,6 @@
 	return append(message, body...)
 }
 
-// Publish passes changes in the store on to the nodes of this data center.
-func (b *Beater) Publish(c follower.Changes) {
-	conn := b.conn.Load()
-	body, err := cbor.Marshal(&c)
-	if err != nil || conn == nil || len(body) >= maxDatagram {
-		// The others learn from the next beat that they have missed something.
-		badDatagrams.Inc()
-		return
-	}
-	message := append([]byte{changesKind}, body...)
-	b.mu.Lock()
-	to := []*net.UDPAddr{}
-	for name, p := range b.peers {
-		if a, ok := b.addrs[name]; ok && p.DataCenter == b.DataCenter && time.Since(p.SeenAt) < liveFor {
-			to = append(to, a)
-		}
-	}
-	b.mu.Unlock()
-	for _, a := range to {
-		b.write(conn, message, a)
-	}
-}
-
 func (b *Beater) write(conn *net.UDPConn, message []byte, to *net.UDPAddr) {
 	if _, err := conn.WriteToUDP(message, to); err != nil {
 		badDatagrams.Inc()
@@ -333,17 +311,8 @@
 		if b.note(beat, from) && b.Received != nil {
 			b.Received(beat)
 		}
-	case message[0] == changesKind:
-		c := follower.Changes{}
-		if err := cbor.Unmarshal(message[1:], &c); err != nil {
-			return fmt.Errorf("decode changes: %w", err)
-		}
-		for i := range c.Objects {
-			c.Objects[i].Kind = c.Kind
-		}
-		if b.Changed != nil {
-			b.Changed(c)
-		}
+	case message[0] == changesKind, message[0] == relayedKind:
+		return b.takeChanges(message)
 	default:
 		return errBadDatagram
 	}
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -1,7 +1,9 @@
 package beater
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -140,7 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, bad := range []string{"", "x", "\x01", "\x0112345678123456789", "\x02\xff\xff"} {
+	for _, bad := range []string{"", "x", "\x01", "\x0112345678123456789", "\x02\xff\xff", "\x03\xff\xff", "\x04\xff\xff"} {
 		_, _ = fmt.Fprint(conn, bad)
 	}
 	a.Publish(follower.Changes{Kind: "servers", Since: 3, At: 5, Objects: []follower.Object{{Name: "i-1", Revision: 5, Spec: []byte(`{"a":1}`)}}})
@@ -161,10 +163,88 @@
 	}
 }
 
+// TestPassOn checks that with many nodes all get the changes, and that the one
+// that publishes sends only a part of the datagrams.
+func TestPassOn(t *testing.T) {
+	const nodes = 20
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a := start(ctx, t, "a", "x")
+	others := []*node{}
+	for i := range nodes {
+		n := start(ctx, t, fmt.Sprintf("n%02d", i), "x")
+		others = append(others, n)
+	}
+	all := append([]*node{a}, others...)
+	for _, n := range all {
+		for _, o := range all {
+			n.AddPeer(o.Self, o.address)
+		}
+	}
+	eventually(t, "not all are live", func() bool {
+		for _, n := range all {
+			if len(n.Live()) != nodes {
+				return false
+			}
+		}
+		return true
+	})
+	if groups := relayGroups(a.near()); len(groups) > 5 {
+		t.Errorf("%d nodes get the changes directly", len(groups))
+	}
+	a.Publish(follower.Changes{Kind: "servers", Since: 3, At: 5, Objects: []follower.Object{{Name: "i-1", Revision: 5, Spec: []byte(`{}`)}}})
+	for _, n := range others {
+		eventually(t, "a node has not got the change", func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.changes) == 1
+		})
+	}
+}
+
+// TestPack checks that many entries that are much alike fit into one datagram,
+// and that changes which would take too much memory are refused.
+func TestPack(t *testing.T) {
+	c := follower.Changes{Kind: "servers", Since: 3, At: 400}
+	for i := range 300 {
+		spec := fmt.Sprintf(`{"service":"pool","address":"10.1.%d.%d:8300","zone":"vake","version":"v1","batch_slots":17,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":17000000%05d,"failure_domain":"vake-d%d","preloaded":["m0"],"models":[{"name":"m0","version":1,"adapter_ids":[]}],"group":{"name":"vake-d%d-%d","epoch":%d,"rank":%d,"state":"open"}}`,
+			i/250, i%250, i*7, i*37, i/18, i/18, i/8, i/8, i%8)
+		c.Objects = append(c.Objects, follower.Object{Name: fmt.Sprintf("i-%08x", i*2654435761), Revision: int64(i + 3), Spec: []byte(spec)})
+	}
+	packed, err := pack(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes for %d entries", len(packed), len(c.Objects))
+	got, err := unpack(packed)
+	if err != nil || len(got.Objects) != 300 || got.Objects[299].Kind != "servers" || string(got.Objects[7].Spec) != string(c.Objects[7].Spec) {
+		t.Errorf("%d entries, %v", len(got.Objects), err)
+	}
+	big, err := pack(&follower.Changes{Objects: []follower.Object{{Spec: bytes.Repeat([]byte("a"), maxChanges-100)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := unpack(big); err != nil {
+		t.Errorf("changes of the allowed size: %v", err)
+	}
+	if _, err := pack(&follower.Changes{Objects: []follower.Object{{Spec: bytes.Repeat([]byte("a"), maxChanges)}}}); !errors.Is(err, errTooLarge) {
+		t.Errorf("changes over the allowed size: %v", err)
+	}
+}
+
 // FuzzDatagram feeds bytes to the reader of datagrams.
 func FuzzDatagram(f *testing.F) {
 	f.Add([]byte("\x011234567812345678\xa1\x01\x61a"))
-	f.Add([]byte("\x02\xa1\x01\x61k"))
+	packed, err := pack(&follower.Changes{Kind: "k", At: 2, Objects: []follower.Object{{Name: "a"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{changesKind}, packed...))
+	message, err := encodeRelayed([]neighbor{{name: "b"}}, packed)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(message)
 	b := &Beater{Self: "self", Log: slog.New(slog.DiscardHandler)}
 	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
 	f.Fuzz(func(_ *testing.T, message []byte) {
--- a/internal/routing/retrier/retrier.go
+++ b/internal/routing/retrier/retrier.go
@@ -75,11 +75,11 @@
 	return true
 }
 
-// Resize changes Burst. What was saved beyond it is lost.
-func (b *Budget) Resize(burst float64) {
+// Resize changes PerRequest and Burst. What was saved beyond Burst is lost.
+func (b *Budget) Resize(perRequest, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Burst = burst
+	b.PerRequest, b.Burst = perRequest, burst
 	b.saved = min(b.saved, burst)
 }
 
--- a/internal/routing/retrier/retrier_test.go
+++ b/internal/routing/retrier/retrier_test.go
@@ -25,10 +25,16 @@
 	for range 1000 {
 		b.Earn()
 	}
-	b.Resize(3)
+	b.Resize(0.5, 3)
 	if n := spend(); n != 3 {
 		t.Errorf("%d repeats after the burst became smaller, wanted 3", n)
 	}
+	for range 5 {
+		b.Earn()
+	}
+	if n := spend(); n != 2 {
+		t.Errorf("%d repeats for 5 requests that earn half a repeat each, wanted 2", n)
+	}
 	b = &Budget{}
 	if n := spend(); n != reserve {
 		t.Errorf("%d repeats by default, wanted %d", n, reserve)
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	a := &admitter.Admitter{Catalog: catalog, Age: age, RevocationTimeout: 5 * time.Second}
+//	a := &admitter.Admitter{Catalog: catalog, Age: age, RevocationTimeout: timeout}
 //	call, failure := a.Admit(&admitter.Incoming{Host: host, Path: path, Credential: key})
 package admitter
 
@@ -65,9 +65,9 @@
 	Catalog func() *matcher.Catalog
 	// Age returns how long ago the configuration was surely current.
 	Age func() time.Duration
-	// RevocationTimeout is within which a credential that was taken away must
-	// not be accepted any more.
-	RevocationTimeout time.Duration
+	// RevocationTimeout returns within which time a credential that was taken
+	// away must not be accepted any more.
+	RevocationTimeout func() time.Duration
 }
 
 // Admit returns the call that a request becomes, or why it is turned away.
@@ -114,7 +114,7 @@
 	if !c.HasTeams || call.Route.Public {
 		return nil
 	}
-	if age > time.Duration(float64(a.RevocationTimeout)*admitShare) {
+	if age > time.Duration(float64(a.RevocationTimeout())*admitShare) {
 		return unsure(in, responder.ReasonStale, "the configuration is too old to accept a credential")
 	}
 	team, ok := c.Team(in.Credential)
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -63,7 +63,7 @@
 		c = nil
 	}
 	a := &Admitter{
-		Catalog: func() *matcher.Catalog { return c }, RevocationTimeout: 5 * time.Second,
+		Catalog: func() *matcher.Catalog { return c }, RevocationTimeout: func() time.Duration { return 5 * time.Second },
 		Age: func() time.Duration { return time.Duration(x.AgeMS) * time.Millisecond },
 	}
 	in := &Incoming{ID: "q", Host: x.Host, Path: x.Path, Credential: x.Key, Model: x.Model, Timeout: 4 * time.Second, Arrived: time.Now()}
