Plan the models of new domains for all data centers together

Change: each creating node plans for the new domains of all data centers in the same order and creates those of its own; the total of all data centers comes before the share within one. Tests: TestPlans, seen failing when each plans for itself (8 to 4).

--- a/internal/fleet/former/create.go
+++ b/internal/fleet/former/create.go
@@ -1,10 +1,12 @@
 package former
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"marjorammoor/internal/store/follower"
@@ -59,22 +61,56 @@
 		c.created[o.Name] = true
 		count(here, everywhere, a.DataCenter, a.Model)
 	}
+	models := planModels(without(domains, c.created), len(domains), here, everywhere)
 	for _, d := range missing {
 		if c.created[objectName(d)] {
 			continue
 		}
-		a := Assignment{Service: d.service.Name, Domain: d.name, DataCenter: d.dataCenter}
-		a.Model = chooseModel(d.service.Engine.Models, len(domains), here[d.dataCenter], everywhere)
+		a := Assignment{Service: d.service.Name, Domain: d.name, DataCenter: d.dataCenter, Model: models[objectName(d)]}
 		if err := c.createOne(call, d, a); err != nil {
 			return err
 		}
 		c.created[objectName(d)] = true
-		count(here, everywhere, a.DataCenter, a.Model)
 		c.Log.Info("assignment is created", "domain", d.name, "model", a.Model)
 	}
 	return nil
 }
 
+// without returns the domains that have no assignment yet.
+func without(domains []*domain, created map[string]bool) []*domain {
+	list := []*domain{}
+	for _, d := range domains {
+		if !created[objectName(d)] {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// planModels returns the model of each new domain, by the name of its object.
+// Nodes of several data centers plan at the same moment. Each plans for the new
+// domains of all of them, in the same order, so that together they come to the
+// models' shares although none sees what the others are about to create.
+func planModels(missing []*domain, domains int, here map[string]map[string]int, everywhere map[string]int) map[string]string {
+	rank := map[*domain]int{}
+	inOrder := slices.SortedFunc(slices.Values(missing), func(x, y *domain) int {
+		return cmp.Or(cmp.Compare(x.dataCenter, y.dataCenter), cmp.Compare(objectName(x), objectName(y)))
+	})
+	for i, d := range inOrder {
+		if i > 0 && inOrder[i-1].dataCenter == d.dataCenter {
+			rank[d] = rank[inOrder[i-1]] + 1
+		}
+	}
+	slices.SortStableFunc(inOrder, func(x, y *domain) int { return rank[x] - rank[y] })
+	models := map[string]string{}
+	for _, d := range inOrder {
+		model := chooseModel(d.service.Engine.Models, domains, here[d.dataCenter], everywhere)
+		models[objectName(d)] = model
+		count(here, everywhere, d.dataCenter, model)
+	}
+	return models
+}
+
 func (c *Controller) createOne(ctx context.Context, d *domain, a Assignment) error {
 	b, err := json.Marshal(a)
 	if err != nil {
--- a/internal/fleet/former/goal.go
+++ b/internal/fleet/former/goal.go
@@ -52,10 +52,10 @@
 	}
 }
 
-// chooseModel returns the model that a new domain serves: the one of which its
-// data center has least for the model's share, or else all data centers have. One
-// model a domain makes spares and the rest of broken replicas fit every replica
-// of their domain. With fewer domains than models it returns none.
+// chooseModel returns the model that a new domain serves: the one of which all
+// data centers have least for the model's share, or else its own has. One model a
+// domain makes spares and the rest of broken replicas fit every replica of their
+// domain. With fewer domains than models it returns none.
 func chooseModel(models []matcher.Model, domains int, here, everywhere map[string]int) string {
 	if domains < len(models) {
 		return ""
@@ -73,7 +73,7 @@
 }
 
 func lacksMore(x, y matcher.Model, here, everywhere map[string]int) bool {
-	for _, given := range []map[string]int{here, everywhere} {
+	for _, given := range []map[string]int{everywhere, here} {
 		xPart, yPart := float64(given[x.Name])/x.InitialShare, float64(given[y.Name])/y.InitialShare
 		if xPart != yPart {
 			return xPart < yPart
--- a/internal/fleet/former/goal_test.go
+++ b/internal/fleet/former/goal_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 
 	"marjorammoor/internal/serving/matcher"
@@ -62,6 +63,61 @@
 	}
 }
 
+// TestPlans reads testdata/plans.json: the models of domains that are listed in
+// steps while a node of each data center creates the assignments there, and none
+// sees what the others create in the same step.
+func TestPlans(t *testing.T) {
+	list := []struct {
+		Name   string             `json:"name"`
+		Shares map[string]float64 `json:"shares"`
+		// Steps are the domains that are new in each step, by data center.
+		Steps []map[string][]string `json:"steps"`
+		Total map[string]int        `json:"total"`
+	}{}
+	readJSON(t, "testdata/plans.json", &list)
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) {
+			engine := &matcher.Engine{Models: []matcher.Model{{Name: "large", Size: 8, InitialShare: x.Shares["large"]}, {Name: "small", Size: 2, InitialShare: x.Shares["small"]}}}
+			service := &matcher.Service{Name: "pool", Engine: engine}
+			here, total := map[string]map[string]int{}, map[string]int{}
+			domains := 0
+			for _, step := range x.Steps {
+				missing := []*domain{}
+				for dataCenter, names := range step {
+					for _, name := range names {
+						missing = append(missing, &domain{service: service, name: name, dataCenter: dataCenter})
+					}
+				}
+				domains += len(missing)
+				created := map[string]string{}
+				for dataCenter := range step {
+					plan := planModels(missing, domains, clone(here), maps.Clone(total))
+					for _, d := range missing {
+						if d.dataCenter == dataCenter {
+							created[dataCenter+" "+d.name] = plan[objectName(d)]
+						}
+					}
+				}
+				for key, model := range created {
+					dataCenter, _, _ := strings.Cut(key, " ")
+					count(here, total, dataCenter, model)
+				}
+			}
+			if !maps.Equal(total, x.Total) {
+				t.Errorf("%v, wanted %v", total, x.Total)
+			}
+		})
+	}
+}
+
+func clone(here map[string]map[string]int) map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for k, v := range here {
+		out[k] = maps.Clone(v)
+	}
+	return out
+}
+
 // TestReassignments reads testdata/reassignments.json: which domain goes to a
 // model that none serves.
 func TestReassignments(t *testing.T) {
