Let copies of a keyed request wait for the answer behind another node's

Cause: of three copies of one idempotency key over two nodes, 90 of 1,500 were told earlier_attempt_unknown though the call completed a moment later. The first copy at the second node asks the holder; the second copy there waits for the first, which ended as unknown at that node even when it had brought the answer. Ruled out: the holder's answer was kept (the first copy got it); the claim was granted once. Change: when the holder has the answer, or the copy that asked gave up, those that wait ask themselves.

--- a/internal/claims/executor/executor.go
+++ b/internal/claims/executor/executor.go
@@ -73,13 +73,16 @@
 		case <-ctx.Done():
 			return e.undecided(ctx, c)
 		}
-		if s, _, _, _ := r.current(); s != stateNotRun {
+		switch s, _, _, _ := r.current(); s {
+		case stateElsewhere:
+		case stateNotRun:
+			if e.replace(r, mine) {
+				return e.first(ctx, w, c, mine)
+			}
+		default:
 			repeatedHere.Inc()
 			return e.repeat(ctx, w, c, r)
 		}
-		if e.replace(r, mine) {
-			return e.first(ctx, w, c, mine)
-		}
 	}
 }
 
--- a/internal/claims/executor/follow.go
+++ b/internal/claims/executor/follow.go
@@ -20,11 +20,24 @@
 		return e.run(ctx, w, c, r)
 	}
 	// The end is known elsewhere; this node keeps no run of its own.
-	r.finish(stateUnknown, responder.ReasonEarlierUnknown, nil)
 	e.runs.Update(r.key, func(now *run, ok bool) (*run, bool) { return now, ok && now != r })
+	if canBeAsked(ctx, reply) {
+		r.finish(stateElsewhere, "", nil)
+	} else {
+		r.finish(stateUnknown, responder.ReasonEarlierUnknown, nil)
+	}
 	return e.tell(ctx, w, c, reply)
 }
 
+// canBeAsked reports whether further attempts that wait here should ask the
+// holder themselves: it has the answer, or the attempt that asked has given up.
+func canBeAsked(ctx context.Context, reply *encoder.FetchReply) bool {
+	if reply == nil {
+		return ctx.Err() != nil
+	}
+	return reply.State == string(stateCompleted) || reply.State == string(stateRunning)
+}
+
 // ask answers out of what the peer says that took a request over from here.
 func (e *Executor) ask(ctx context.Context, w http.ResponseWriter, c *forwarder.Call, key string, taker takerNode) *responder.Failure {
 	return e.tell(ctx, w, c, e.fetch(ctx, &run{key: key}, taker, false))
@@ -108,8 +121,9 @@
 	s, reason, a, taker := r.current()
 	reply := &encoder.FetchReply{State: string(s), Reason: string(reason), RequestId: r.requestID}
 	reply.Node, reply.Incarnation, reply.Attempt = taker.name, taker.incarnation, taker.attempt
-	if s == stateNotRun {
-		// Nobody took it over; the asker may not run it.
+	if s == stateNotRun || s == stateElsewhere {
+		// Nobody took it over, or this node only waited for another one; the asker
+		// may not run it.
 		reply.State = string(stateUnknown)
 	}
 	if a != nil {
--- a/internal/claims/executor/run.go
+++ b/internal/claims/executor/run.go
@@ -22,6 +22,9 @@
 	// stateNotKept says that the request completed, but that its answer was too
 	// large or has been dropped.
 	stateNotKept state = "not_kept"
+	// stateElsewhere says that the request runs or has run at another node, which
+	// can be asked. It is not told to peers: such a run is no longer found.
+	stateElsewhere state = "elsewhere"
 )
 
 const (
