--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -34,6 +34,9 @@
 	Members []Member     `json:"members"`
 	// Graceful says that a closing replica still finishes its requests.
 	Graceful bool `json:"graceful,omitempty"`
+	// MayOpen says that a closing replica was about to open. An order to open that
+	// got no answer may still be carried out.
+	MayOpen bool `json:"may_open,omitempty"`
 }
 
 // Assignment is the stored state of a domain.
