Give a free place to the next request if the first may not have it

Cause: read in the diff: a waiting request that may not go to the free place (it has tried that target, or its team may fill only a part of the places) stayed first, and all behind it waited as long. While a team floods, requests of others that are late already stand behind it. Ruled out: changing the order, which would put late requests first. Change: if the first request gets no place, the first that may have every place is tried. Test: TestBound, seen failing before (deadlock: nobody gets the place).

--- a/internal/serving/balancer/balancer_test.go
+++ b/internal/serving/balancer/balancer_test.go
@@ -287,3 +287,35 @@
 		}
 	})
 }
+
+// TestBound checks that a waiting request which may not have the free place does
+// not keep it from others that wait behind it.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("", 1, "a", "b")
+		places := map[string]*Place{}
+		for range 2 {
+			p := acquire(t, b, request("", 1, 0, time.Second))
+			places[p.Target.ID] = p
+		}
+		bound := request("", 0, time.Minute, time.Minute)
+		bound.Tried = []string{"a"}
+		served := make(chan string, 2)
+		for name, r := range map[string]*Request{"bound": bound, "free": request("", 1, time.Minute, time.Minute)} {
+			go func() {
+				if p, err := b.Acquire(t.Context(), r); err == nil {
+					served <- name + " " + p.Target.ID
+				}
+			}()
+		}
+		synctest.Wait()
+		places["a"].Release()
+		if got := <-served; got != "free a" {
+			t.Errorf("%s came first, wanted the request that may have the place", got)
+		}
+		places["b"].Release()
+		if got := <-served; got != "bound b" {
+			t.Errorf("%s came second", got)
+		}
+	})
+}
--- a/internal/serving/balancer/lane.go
+++ b/internal/serving/balancer/lane.go
@@ -157,27 +157,53 @@
 	}
 }
 
-// dispatch gives free places to waiting requests in order.
+// dispatch gives free places to waiting requests in order. If the first one may
+// not have any of them, the first that may have every place is tried.
 func (l *lane) dispatch(b *Balancer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.waiting) > 0 {
-		i := l.first()
-		w := l.waiting[i]
-		p, _ := b.take(l, w.request)
-		if p == nil {
+		i := l.first(nil)
+		if l.give(b, i) {
+			continue
+		}
+		if l.isUnbound(l.waiting[i].request) || !l.give(b, l.first(l.isUnbound)) {
 			return
 		}
-		l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-		w.ready <- p
 	}
 }
 
-func (l *lane) first() int {
+// give takes a place for the i-th waiting request and reports whether there was
+// one. l.mu is held.
+func (l *lane) give(b *Balancer, i int) bool {
+	if i < 0 {
+		return false
+	}
+	w := l.waiting[i]
+	p, _ := b.take(l, w.request)
+	if p == nil {
+		return false
+	}
+	l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+	w.ready <- p
+	return true
+}
+
+// isUnbound reports whether a request may have every place.
+func (l *lane) isUnbound(r *Request) bool {
+	return len(r.Tried) == 0 && !l.rates.isOver(r.Team, time.Now())
+}
+
+// first returns the index of the first waiting request in order, of those that
+// match if match is set, or -1. l.mu is held.
+func (l *lane) first(match func(r *Request) bool) int {
 	now := time.Now()
-	first := 0
+	first := -1
 	for i, w := range l.waiting {
-		if l.comesBefore(w.request, l.waiting[first].request, now) {
+		if match != nil && !match(w.request) {
+			continue
+		}
+		if first < 0 || l.comesBefore(w.request, l.waiting[first].request, now) {
 			first = i
 		}
 	}
