--- a/internal/fleet/former/doc.go
+++ b/internal/fleet/former/doc.go
@@ -12,6 +12,10 @@
 // left it, has started anew, or has been gone for longer than a replica can
 // stand still without breaking.
 //
+// A domain serves one model. One whose model has more domains than it needs to
+// keep goes over to a model that has none. A member that is only missing from the
+// list stays in its replica while it answers probes.
+//
 // Decide is a function of what is known and has no effects; Controller carries
 // its decisions out.
 //
