Hold back no team when all send more, nor where a target has one place

Cause: read in the diff. A team over three times its usual rate may fill 0.7 of the places. The only team of a system, or all teams when traffic rises threefold in the morning, were held back too and lost 0.3 of the capacity; of a target with one place such a team got none. Ruled out: comparing with the sum of the others, where two floods hide each other. Change: a team counts as over only beyond what the middle team's rate has risen by; it may have one place of each target at least. Also: take no longer returns a second value that nobody read.

--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -202,9 +202,8 @@
 	return counts, suspects
 }
 
-// take draws a target with room and reserves a place, or returns nil. found says whether
-// there is any target that is not held to be broken.
-func (b *Balancer) take(l *lane, r *Request) (place *Place, found bool) {
+// take draws a target with room and reserves a place, or returns nil.
+func (b *Balancer) take(l *lane, r *Request) *Place {
 	now := time.Now()
 	var best Target
 	var bestLoad *Load
@@ -220,11 +219,7 @@
 		isHeld := now.Before(load.suspected) || now.Before(load.avoid)
 		failures := load.failures
 		load.mu.Unlock()
-		if isHeld {
-			continue
-		}
-		found = true
-		if n >= slots(t, isOver) {
+		if isHeld || n >= slots(t, isOver) {
 			continue
 		}
 		key := rand.ExpFloat64() / b.weight(t, n, failures)
@@ -233,19 +228,19 @@
 		}
 	}
 	if best == nil {
-		return nil, found
+		return nil
 	}
 	p := &Place{Target: best, load: bestLoad, balancer: b, lane: l, taken: now}
 	bestLoad.mu.Lock()
 	bestLoad.own[p] = struct{}{}
 	bestLoad.mu.Unlock()
-	return p, true
+	return p
 }
 
 // slots returns how many requests a target may have for another one to go there.
 func slots(t Target, isOver bool) int {
 	if isOver {
-		return int(float64(t.Slots) * overSlots)
+		return max(int(float64(t.Slots)*overSlots), 1)
 	}
 	return t.Slots
 }
--- a/internal/serving/balancer/balancer_test.go
+++ b/internal/serving/balancer/balancer_test.go
@@ -140,7 +140,7 @@
 		b.Clear("a")
 		isUsed := false
 		for range 6 { // with those above more than the other target has places for
-			p, _ := b.take(&lane{}, request("m", 1, 0, time.Second))
+			p := b.take(&lane{}, request("m", 1, 0, time.Second))
 			isUsed = isUsed || p != nil && p.Target.ID == "a"
 		}
 		if !isUsed {
--- a/internal/serving/balancer/fair.go
+++ b/internal/serving/balancer/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,7 +28,7 @@
 )
 
 // rates tells which teams send much more than they usually do. A large team is
-// not held back for being large, nor all of them when all send more.
+// not held back for being large, nor are all, or the only one, when all send more.
 type rates struct {
 	mu      sync.Mutex
 	started time.Time
@@ -86,16 +87,27 @@
 	return r.over[team]
 }
 
-// listOver returns the teams that send much more than usual. Soon after the start
-// the usual rate is what a team has sent so far. r.mu is held.
+// listOver returns the teams that send much more than usual, beyond how much the
+// middle team does. Soon after the start the usual rate is what a team has sent
+// so far. r.mu is held.
 func (r *rates) listOver(now time.Time) map[string]bool {
 	list := map[string]bool{}
 	known := 1 - decay(now.Sub(r.started), usualTime)
 	if known <= 0 {
 		return list
 	}
+	rises := []float64{}
 	for team := range r.teams {
-		if t := r.update(team, now, 0); t.recent > overFactor*t.usual/known+freeRate {
+		t := r.update(team, now, 0)
+		rises = append(rises, t.recent*known/t.usual)
+	}
+	slices.Sort(rises)
+	common := 1.0
+	if len(rises) > 0 {
+		common = max(common, rises[(len(rises)-1)/2])
+	}
+	for team, t := range r.teams {
+		if t.recent > overFactor*common*t.usual/known+freeRate {
 			list[team] = true
 		}
 	}
--- a/internal/serving/balancer/lane.go
+++ b/internal/serving/balancer/lane.go
@@ -45,7 +45,7 @@
 	l.rates.note(r.Team, time.Now())
 	l.mu.Lock()
 	if !l.hasEarlier(r) {
-		if p, _ := b.take(l, r); p != nil {
+		if p := b.take(l, r); p != nil {
 			l.mu.Unlock()
 			return p, nil
 		}
@@ -180,7 +180,7 @@
 		return false
 	}
 	w := l.waiting[i]
-	p, _ := b.take(l, w.request)
+	p := b.take(l, w.request)
 	if p == nil {
 		return false
 	}
