Keep reading and writing of assignments in one place

Cause: read in the diff. Assignments were decoded from a list in two places, and what follows a write that failed stood twice; the admitter looked for a model that matcher.Service.Model finds already. Ruled out: nothing to rule out; no behaviour changes but that a listed assignment that cannot be decoded counts as a failure of the store in both places, as it did in one.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"sync"
@@ -197,9 +195,19 @@
 	w, ok := c.workers[key]
 	if !ok {
 		w = &worker{
-			since: map[string]time.Time{}, gone: map[string]time.Time{}, left: map[string]bool{},
-			sent: map[orderKey]time.Time{}, misses: map[string]int{}, dead: map[string]bool{},
-			silent: map[string]time.Time{}, refusing: map[string]bool{}, idle: map[string]time.Time{}, last: map[string]string{}, loading: map[string]load{}, warming: map[string]time.Time{}, missedAt: map[string]time.Time{},
+			since:    map[string]time.Time{},
+			gone:     map[string]time.Time{},
+			left:     map[string]bool{},
+			sent:     map[orderKey]time.Time{},
+			misses:   map[string]int{},
+			dead:     map[string]bool{},
+			silent:   map[string]time.Time{},
+			refusing: map[string]bool{},
+			idle:     map[string]time.Time{},
+			last:     map[string]string{},
+			loading:  map[string]load{},
+			warming:  map[string]time.Time{},
+			missedAt: map[string]time.Time{},
 		}
 		c.workers[key] = w
 	}
@@ -234,10 +242,7 @@
 	in := c.input(w, d, domains)
 	out := Decide(in)
 	if out.Changed {
-		if err := c.store(ctx, w, d, out.Assignment); err != nil {
-			c.Log.Warn("cannot store the assignment", "domain", d.name, "revision", w.revision, "error", err)
-			c.noteStoreFailed(err)
-			w.loaded = false
+		if !c.store(ctx, w, d, out.Assignment) {
 			return
 		}
 		w.keepTimes(out.Assignment)
@@ -262,46 +267,6 @@
 	return follower.Now()
 }
 
-func objectName(d *domain) string { return d.service.Name + "--" + d.name }
-
-func (c *Controller) load(ctx context.Context, w *worker, d *domain) error {
-	call, stop := context.WithTimeout(ctx, storeTimeout)
-	defer stop()
-	o, err := c.Store.Get(call, Kind, objectName(d))
-	fresh := Assignment{}
-	switch {
-	case errors.Is(err, follower.ErrNotFound):
-		return nil
-	case err != nil:
-		return fmt.Errorf("get %s: %w", objectName(d), err)
-	}
-	if err := json.Unmarshal(o.Spec, &fresh); err != nil {
-		return fmt.Errorf("decode %s: %w", objectName(d), err)
-	}
-	w.revision = o.Revision
-	w.current, w.loaded, w.readAt = fresh, true, c.clock()
-	c.Log.Info("assignment is read", "domain", d.name, "revision", w.revision, "epoch", fresh.Epoch, "replicas", len(fresh.Replicas))
-	w.keepTimes(fresh)
-	return nil
-}
-
-// store writes the assignment on the condition that nobody else has.
-func (c *Controller) store(ctx context.Context, w *worker, d *domain, a Assignment) error {
-	b, err := json.Marshal(a)
-	if err != nil {
-		return fmt.Errorf("encode %s: %w", objectName(d), err)
-	}
-	call, stop := context.WithTimeout(ctx, storeTimeout)
-	defer stop()
-	o := follower.Object{Kind: Kind, Name: objectName(d), Revision: w.revision, Spec: b}
-	revision, err := c.Store.Replace(call, o)
-	if err != nil {
-		return fmt.Errorf("write %s: %w", o.Name, err)
-	}
-	w.revision = revision
-	return nil
-}
-
 func (c *Controller) input(w *worker, d *domain, domains []*domain) *Input {
 	now := time.Now()
 	listed := map[string]bool{}
@@ -344,10 +309,26 @@
 		warming[id] = true
 	}
 	return &Input{
-		Now: now, Engine: d.service.Engine, Assignment: w.current, Runners: d.runners, Dead: w.dead,
-		Since: w.since, Gone: w.gone, Left: w.left, StallTime: c.StallTime(), Silent: w.silent, Refusing: w.refusing, IdleSince: w.idle, Last: w.last, Loading: loading, Warming: warming, Lapsed: w.noteLapsed(listed),
-		Filled: c.filled(d.service, domains),
-		Loads:  c.loadsLeft(w, d, now, len(domains)), IsEarly: c.IsEarly(), IsCutOff: !isReached,
+		Now:         now,
+		Engine:      d.service.Engine,
+		Assignment:  w.current,
+		Runners:     d.runners,
+		Dead:        w.dead,
+		Since:       w.since,
+		Gone:        w.gone,
+		Left:        w.left,
+		StallTime:   c.StallTime(),
+		Silent:      w.silent,
+		Refusing:    w.refusing,
+		IdleSince:   w.idle,
+		Last:        w.last,
+		Loading:     loading,
+		Warming:     warming,
+		Lapsed:      w.noteLapsed(listed),
+		Filled:      c.filled(d.service, domains),
+		Loads:       c.loadsLeft(w, d, now, len(domains)),
+		IsEarly:     c.IsEarly(),
+		IsCutOff:    !isReached,
 		ReachedFor:  now.Sub(w.reachedAt),
 		AnsweredAgo: now.Sub(w.answeredAt),
 	}
--- a/internal/fleet/former/create.go
+++ b/internal/fleet/former/create.go
@@ -3,13 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"slices"
 	"time"
-
-	"marjorammoor/internal/store/follower"
 )
 
 // createInterval is the least time between two looks for domains without an
@@ -47,18 +42,14 @@
 func (c *Controller) create(ctx context.Context, domains, missing []*domain) error {
 	call, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	objects, _, err := c.Store.List(call, Kind, false)
+	list, err := c.list(call)
 	if err != nil {
-		return fmt.Errorf("list assignments: %w", err)
+		return err
 	}
 	here, everywhere := map[string]map[string]int{}, map[string]int{}
 	c.created = map[string]bool{}
-	for _, o := range objects {
-		a := Assignment{}
-		if err := json.Unmarshal(o.Spec, &a); err != nil {
-			return fmt.Errorf("decode %s: %w", o.Name, err)
-		}
-		c.created[o.Name] = true
+	for name, a := range list {
+		c.created[name] = true
 		count(here, everywhere, a.DataCenter, a.Model)
 	}
 	models := planModels(without(domains, c.created), len(domains), here, everywhere)
@@ -111,18 +102,6 @@
 	return models
 }
 
-func (c *Controller) createOne(ctx context.Context, d *domain, a Assignment) error {
-	b, err := json.Marshal(a)
-	if err != nil {
-		return fmt.Errorf("encode %s: %w", objectName(d), err)
-	}
-	_, err = c.Store.Create(ctx, follower.Object{Kind: Kind, Name: objectName(d), Spec: b})
-	if err != nil && !errors.Is(err, follower.ErrConflict) {
-		return fmt.Errorf("create %s: %w", objectName(d), err)
-	}
-	return nil
-}
-
 func count(here map[string]map[string]int, everywhere map[string]int, dataCenter, model string) {
 	if here[dataCenter] == nil {
 		here[dataCenter] = map[string]int{}
--- a/internal/fleet/former/reassign.go
+++ b/internal/fleet/former/reassign.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"marjorammoor/internal/serving/matcher"
-	"marjorammoor/internal/store/follower"
 )
 
 const (
@@ -20,8 +17,8 @@
 
 // reassign gives the domain to a model that no domain serves. That happens when
 // data centers choose at the same moment, and when a configuration adds a model.
-// The owners of all domains come to the same choice, and only that of the chosen
-// domain acts.
+// Which domain goes over depends only on what is stored, so all owners come to the
+// same one, and only its own acts.
 func (c *Controller) reassign(ctx context.Context, w *worker, d *domain) {
 	if !c.isLacking(w, d) || time.Since(w.lookedAt) < reassignInterval {
 		return
@@ -29,27 +26,20 @@
 	w.lookedAt = time.Now()
 	call, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	objects, _, err := c.Store.List(call, Kind, false)
+	stored, err := c.list(call)
 	if err != nil {
 		c.Log.Warn("cannot look at the domains of a model that lacks replicas", "domain", d.name, "error", err)
 		c.noteStoreFailed(err)
 		return
 	}
-	list, err := assignmentsOf(objects, d.service.Name)
-	if err != nil {
-		c.Log.Warn("cannot look at the domains of a model that lacks replicas", "domain", d.name, "error", err)
-		return
-	}
+	list := ofService(stored, d.service.Name)
 	name, model := chooseReassigned(d.service.Engine.Models, list, c.wanted(d))
 	if name != d.name || model == w.current.Model {
 		return
 	}
 	next := w.current
 	next.Model = model
-	if err := c.store(ctx, w, d, next); err != nil {
-		c.Log.Warn("cannot store the assignment", "domain", d.name, "revision", w.revision, "error", err)
-		c.noteStoreFailed(err)
-		w.loaded = false
+	if !c.store(ctx, w, d, next) {
 		return
 	}
 	c.Log.Info("domain gets another model", "domain", d.name, "from", w.current.Model, "model", model, "domains", len(list))
@@ -79,18 +69,14 @@
 	}
 }
 
-func assignmentsOf(objects []follower.Object, service string) ([]Assignment, error) {
+func ofService(stored map[string]Assignment, service string) []Assignment {
 	list := []Assignment{}
-	for _, o := range objects {
-		a := Assignment{}
-		if err := json.Unmarshal(o.Spec, &a); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", o.Name, err)
-		}
+	for _, a := range stored {
 		if a.Service == service {
 			list = append(list, a)
 		}
 	}
-	return list, nil
+	return list
 }
 
 // chooseReassigned returns the domain that should go to a wanted model that none
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -185,8 +185,24 @@
 		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
 	}
 	n.former = &former.Controller{
-		View: n.tracker.View, ViewAt: n.runners.At, Services: n.services, Store: p.Store, Send: p.Send, Probe: p.Probe, InFlight: n.balancer.InFlight, Waits: n.balancer.Waits, Owns: n.owns, Creates: n.creates,
-		Suspects: n.suspected, AnswersOthers: n.answersOthers, LoadsElsewhere: n.loadsElsewhere, StoreFailed: n.noteStoreFailed, IsEarly: n.isEarly, LoadsPerWindow: n.loadsPerWindow, StallTime: func() time.Duration { return n.bounds().StallTime }, Log: n.Log,
+		View:           n.tracker.View,
+		ViewAt:         n.runners.At,
+		Services:       n.services,
+		Store:          p.Store,
+		Send:           p.Send,
+		Probe:          p.Probe,
+		InFlight:       n.balancer.InFlight,
+		Waits:          n.balancer.Waits,
+		Owns:           n.owns,
+		Creates:        n.creates,
+		Suspects:       n.suspected,
+		AnswersOthers:  n.answersOthers,
+		LoadsElsewhere: n.loadsElsewhere,
+		StoreFailed:    n.noteStoreFailed,
+		IsEarly:        n.isEarly,
+		LoadsPerWindow: n.loadsPerWindow,
+		StallTime:      func() time.Duration { return n.bounds().StallTime },
+		Log:            n.Log,
 	}
 }
 
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -15,7 +15,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -94,19 +93,20 @@
 		return nil, failure
 	}
 	a.complete(c, in, call)
-	if !isServed(call) {
+	if !hasModel(c.Services[call.Service], in.Model) {
 		return nil, unsure(in, responder.ReasonUnknownModel, "the configuration has no model "+strconv.Quote(in.Model))
 	}
 	return call, nil
 }
 
-// isServed reports whether the call's service has the call's model. Waiting for a
-// replica of another one would be in vain.
-func isServed(call *relayer.Call) bool {
-	if call.Engine == nil || len(call.Engine.Models) == 0 {
+// hasModel reports whether a service can serve a model. Waiting for a replica of
+// one that it does not have would be in vain.
+func hasModel(s *matcher.Service, model string) bool {
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
 		return true
 	}
-	return slices.ContainsFunc(call.Engine.Models, func(m matcher.Model) bool { return m.Name == call.Model })
+	_, ok := s.Model(model)
+	return ok
 }
 
 // identify finds the caller's team.
