Log the shared parts of a prompt when a request fails or is sent again

Callers of treasurer-reply saw runners end under their requests, and the logs could not tell whether those requests had anything in common: no line named the parts of a prompt. No decision uses them yet.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -144,7 +144,7 @@
 	}
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(),
-			"ms", time.Since(c.Arrived).Milliseconds())
+			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
 	}
 	n.Log.Warn("request failed", args...)
 	if f.Started || f.Reason == responder.ReasonCallerGone {
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -58,6 +58,9 @@
 	// number of output tokens.
 	PromptTokens int
 	MaxOutput    int
+	// SharedParts are the IDs of the parts of the prompt that other requests may have
+	// too, in order.
+	SharedParts []string
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
 	// empty.
 	LastEvent string
@@ -94,8 +97,8 @@
 	call := &relayer.Call{
 		ID: in.ID, Route: route, Service: route.PickService(), Model: in.Model, Method: in.Method,
 		Target: in.Target, Host: in.Host, Header: in.Header, Body: in.Body,
-		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, Priority: route.Priority,
-		LastEvent: in.LastEvent, Arrived: in.Arrived,
+		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, SharedParts: in.SharedParts,
+		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived,
 	}
 	if failure := a.authenticate(c, in, call, age); failure != nil {
 		return nil, failure
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -31,6 +31,9 @@
 	// number of output tokens.
 	PromptTokens int
 	MaxOutput    int
+	// SharedParts are the IDs of the parts of the prompt that other requests may have
+	// too, in order.
+	SharedParts []string
 	// Priority orders waiting requests; 0 is served first.
 	Priority int
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -129,7 +129,7 @@
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_retries_total{reason=%q}`, string(f.Reason))).Inc()
 	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", f.Reason, "outcome", f.Outcome,
-		"attempts", c.attempts, "last_event", s.lastID, "tried", c.tried)
+		"attempts", c.attempts, "last_event", s.lastID, "tried", c.tried, "parts", c.SharedParts)
 	return true
 }
 
