Stop requests with a part of the prompt that crashes runners

Cause: nothing in the system connected one runner's end with the next. Each attempt was judged alone: a broken stream is the runner's fault, so the request is sent to the next runner, and the next request with the same part is admitted by any node as if nothing had happened. Ruled out: overload (heads ended with six requests a second after they had opened) and our orders (the first is sent three seconds after the first ends).

Class of the fault: a failure that the request causes and the system blames on the server, so that retrying spreads it (query of death).

Change: serving/breaker, a circuit breaker for each shared part of prompts, with evidence of all nodes in heartbeats. Why it works: only requests without events can have caused an end, every request that gets further clears its parts, so after three ends one part is left, and nodes agree on it within a heartbeat. Sound requests of the same caller and with the other parts go on. Queued requests and those without an event are cancelled when their part is blocked, and a request is not repeated while one of its parts is under suspicion.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -73,6 +73,7 @@
 	ReasonNoConfiguration       Reason = "no_configuration"
 	ReasonUnknownRoute          Reason = "unknown_route"
 	ReasonUnknownModel          Reason = "unknown_model"
+	ReasonPartBlocked           Reason = "prompt_part_blocked"
 )
 
 // The headers of responses.
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -22,9 +22,11 @@
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/announcer"
 	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/sharder"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/timing/repeater"
@@ -79,6 +81,7 @@
 	catalog   atomic.Pointer[matcher.Catalog]
 	tracker   *tracker.Tracker
 	balancer  *balancer.Balancer
+	breaker   *breaker.Breaker
 	relayer   *relayer.Relayer
 	admitter  *admitter.Admitter
 	beater    *beater.Beater
@@ -173,7 +176,8 @@
 	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Suspected: n.recordSuspect}
 	n.balancer.IsConnected = func(t balancer.Target) bool { return n.Client.HasIdle(t.Address) }
 	n.tracker.Changed = n.balancer.Dispatch
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesPart, Log: n.Log}
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: func(objects []follower.Object, _ time.Duration) { n.applyCatalogs(objects) },
@@ -226,6 +230,7 @@
 		}
 	}()
 	go repeater.Every(ctx, stallInterval, n.balancer.CheckStalls)
+	go repeater.Every(ctx, breaker.JudgeInterval, n.breaker.Judge)
 	go repeater.Every(ctx, formInterval, func() { n.former.Step(ctx) })
 	go repeater.Every(ctx, expireInterval, n.tracker.Expire)
 	go repeater.Every(ctx, peerSummaryInterval, n.logPeers)
@@ -258,9 +263,30 @@
 
 // probe reports whether a runner answers a probe in time.
 func (n *Node) probe(id, address string) bool {
+	return n.probeResult(id, address) == former.Reachable
+}
+
+// hasEnded reports whether a runner accepts no connections any more.
+func (n *Node) hasEnded(r breaker.Runner) bool {
+	return n.probeResult(r.ID, r.Address) == former.Refused
+}
+
+func (n *Node) probeResult(id, address string) former.ProbeResult {
 	ctx, stop := context.WithTimeout(context.Background(), indirectProbeTimeout)
 	defer stop()
-	return n.Platform.Probe(ctx, former.Member{ID: id, Address: address}) == former.Reachable
+	return n.Platform.Probe(ctx, former.Member{ID: id, Address: address})
+}
+
+// triesPart reports whether this node is the one that tries a part of prompts again when
+// its block is over.
+func (n *Node) triesPart(part string) bool {
+	names := []string{n.Settings.Name}
+	for _, p := range n.beater.Live() {
+		if !p.Leaving {
+			names = append(names, p.Node)
+		}
+	}
+	return ranker.First(part, names) == n.Settings.Name
 }
 
 // answeredPeer reports whether another node recently got an answer from a runner.
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/store/follower"
 )
 
@@ -61,6 +62,8 @@
 	// WantsRetries are the services for which the node has spent its share of the
 	// retry budget.
 	WantsRetries []string `cbor:"20,keyasint,omitempty"`
+	// Parts tells which parts of prompts crash runners, as far as the node knows.
+	Parts breaker.Report `cbor:"22,keyasint,omitzero"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
--- /dev/null
+++ b/internal/serving/breaker/report.go
@@ -0,0 +1,164 @@
+package breaker
+
+import (
+	"time"
+)
+
+const (
+	// reportTime is how long a node reports a crash that it has seen.
+	reportTime = 10 * time.Second
+	// announceTime is how long it reports that a part has proved sound.
+	announceTime = 2 * time.Second
+	// maxReportedCrashes and maxAnnounced bound a report.
+	maxReportedCrashes = 32
+	maxAnnounced       = 128
+	// sameBlockTime is by how much the times of one block may differ between nodes.
+	sameBlockTime = 2 * time.Second
+)
+
+// Report is what a node tells the others. Times are told as ages, since clocks differ.
+type Report struct {
+	Crashes []ReportedCrash `cbor:"1,keyasint,omitempty"`
+	// SoundMS is the age in milliseconds of the last proof that a part is sound, by part.
+	SoundMS map[string]int64 `cbor:"2,keyasint,omitempty"`
+	// Blocks are the blocked parts.
+	Blocks map[string]ReportedBlock `cbor:"3,keyasint,omitempty"`
+}
+
+// ReportedCrash is the end of a runner, with the parts of the requests that may have
+// caused it and their greatest depth in a prompt.
+type ReportedCrash struct {
+	Runner string         `cbor:"1,keyasint"`
+	AgeMS  int64          `cbor:"2,keyasint"`
+	Parts  map[string]int `cbor:"3,keyasint"`
+}
+
+// ReportedBlock is a block's age and its length, both in milliseconds.
+type ReportedBlock struct {
+	AgeMS    int64 `cbor:"1,keyasint"`
+	LengthMS int64 `cbor:"2,keyasint"`
+}
+
+// IsUrgent reports whether a report tells what the other nodes do not know yet.
+func (r *Report) IsUrgent() bool {
+	if len(r.Crashes)+len(r.SoundMS) > 0 {
+		return true
+	}
+	for _, k := range r.Blocks {
+		if k.AgeMS < reportTime.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
+
+// announce has reports name a part that has proved sound. b.mu must be held.
+func (b *Breaker) announce(part string, now time.Time) {
+	if b.announced == nil {
+		b.announced = map[string]time.Time{}
+	}
+	b.announced[part] = now.Add(announceTime)
+}
+
+// Report returns what this node tells the others.
+func (b *Breaker) Report() Report {
+	r := Report{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for id, c := range b.crashes {
+		if c.isConfirmed && now.Sub(c.at) < reportTime && len(r.Crashes) < maxReportedCrashes {
+			parts := make(map[string]int, len(c.parts))
+			for p, depth := range c.parts {
+				parts[p] = depth
+			}
+			r.Crashes = append(r.Crashes, ReportedCrash{Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), Parts: parts})
+		}
+	}
+	r.SoundMS = b.soundAges(now)
+	for p, k := range b.blocks {
+		if r.Blocks == nil {
+			r.Blocks = map[string]ReportedBlock{}
+		}
+		r.Blocks[p] = ReportedBlock{AgeMS: now.Sub(k.at).Milliseconds(), LengthMS: k.length.Milliseconds()}
+	}
+	return r
+}
+
+// soundAges returns the parts to announce. b.mu must be held.
+func (b *Breaker) soundAges(now time.Time) map[string]int64 {
+	ages := map[string]int64{}
+	for p, until := range b.announced {
+		at, ok := b.sound.Get(p)
+		if !ok || !now.Before(until) {
+			delete(b.announced, p)
+			continue
+		}
+		if len(ages) < maxAnnounced {
+			ages[p] = now.Sub(at).Milliseconds()
+		}
+	}
+	return ages
+}
+
+// Receive takes over what another node reports.
+func (b *Breaker) Receive(r *Report) {
+	if len(r.Crashes)+len(r.SoundMS)+len(r.Blocks) == 0 {
+		return
+	}
+	b.mu.Lock()
+	now := b.now()
+	for p, age := range r.SoundMS {
+		b.receiveSound(p, ago(now, age))
+	}
+	for i := range r.Crashes {
+		c := &r.Crashes[i]
+		b.addCrash(c.Runner, ago(now, c.AgeMS), c.Parts)
+	}
+	blocked := []*BlockedError{}
+	for p, k := range r.Blocks {
+		if b.receiveBlock(p, ago(now, k.AgeMS), millis(k.LengthMS)) {
+			blocked = append(blocked, &BlockedError{Part: p, RetryAfter: b.blocks[p].until().Sub(now)})
+		}
+	}
+	b.updateAlert()
+	b.mu.Unlock()
+	b.cancelCalls(blocked)
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func ago(now time.Time, ageMS int64) time.Time { return now.Add(-millis(max(ageMS, 0))) }
+
+// receiveSound records that a part proved sound at another node. b.mu must be held.
+func (b *Breaker) receiveSound(part string, at time.Time) {
+	b.sound.Update(part, func(old time.Time, _ bool) (time.Time, bool) {
+		if old.After(at) {
+			at = old
+		}
+		return at, true
+	})
+	b.clear(part, at)
+}
+
+// receiveBlock takes over the block of a part, unless the part has proved sound since or
+// is blocked already, and reports whether it did. b.mu must be held.
+func (b *Breaker) receiveBlock(part string, at time.Time, length time.Duration) bool {
+	if soundAt, ok := b.sound.Get(part); ok && soundAt.After(at) {
+		b.announce(part, b.now())
+		return false
+	}
+	if k := b.blocks[part]; k != nil && at.Sub(k.at) < sameBlockTime {
+		return false
+	}
+	if b.blocks[part] == nil && len(b.blocks) >= maxBlocks {
+		return false
+	}
+	length = min(max(length, 0), maxBlockTime)
+	if b.now().Sub(at.Add(length)) > forgetBlockTime {
+		return false
+	}
+	b.block(part, &block{at: at, length: length})
+	b.Log.Warn("prompt part is blocked, as another node reports", "part", part, "for_ms", length.Milliseconds())
+	return true
+}
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 )
@@ -50,6 +51,8 @@
 	// Timing records the waiting time and the progress of the response.
 	Timing Timing
 
+	// guard tells the breaker what happens to the call.
+	guard *breaker.Call
 	// attempts is the number of times that the call may have reached a runner.
 	attempts int
 	// tried lists the IDs of the targets that were chosen, in order.
--- a/internal/serving/relayer/drip_test.go
+++ b/internal/serving/relayer/drip_test.go
@@ -11,6 +11,7 @@
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 )
@@ -88,7 +89,7 @@
 			b.CheckStalls()
 		}
 	}()
-	c := &Call{Route: &matcher.Route{Type: matcher.Stream, Resumable: true}, Arrived: time.Now()}
+	c := &Call{Route: &matcher.Route{Type: matcher.Stream, Resumable: true}, Arrived: time.Now(), guard: &breaker.Call{}}
 	a := &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}
 	body := &drip{ctx: ctx, events: events, every: every, bytes: 200 * time.Millisecond}
 	failure := r.relayStream(ctx, c, a, &stream{}, slot, &requester.Response{Status: http.StatusOK, Header: http.Header{}, Body: body})
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 )
 
@@ -48,6 +49,9 @@
 	Balancer *balancer.Balancer
 	Client   *requester.Client
 	Wire     *Wire
+	// Breaker tells which requests must not be sent. It may be nil if no request has
+	// SharedParts.
+	Breaker *breaker.Breaker
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retrier.SharedBudget
 	Log    *slog.Logger
@@ -60,6 +64,14 @@
 func (r *Relayer) Serve(ctx context.Context, c *Call, a *ResponseWriter) *responder.Failure {
 	ctx, stop := context.WithDeadline(ctx, c.Deadline)
 	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	guard, err := r.Breaker.Admit(c.SharedParts, cancel)
+	if err != nil {
+		return r.finalize(ctx, c, blockedFailure(c, responder.NotRun, err))
+	}
+	defer guard.Done()
+	c.guard = guard
 	budget := r.Budget(c.Service)
 	budget.Earn()
 	s := &stream{lastID: c.LastEvent}
@@ -122,6 +134,10 @@
 		return false
 	case s.started && c.Route.Type != matcher.Stream:
 		return false
+	case f.Outcome != responder.NotRun && !r.Breaker.MayRepeat(c.SharedParts):
+		countDenied("suspect_part")
+		r.Log.Info("request is not retried, runners have ended under its parts", "request", c.ID, "reason", f.Reason, "parts", c.SharedParts)
+		return false
 	case !b.Spend():
 		countDenied("budget")
 		r.Log.Warn("retry budget exhausted, request is not retried", "request", c.ID, "service", c.Service, "reason", f.Reason)
@@ -145,7 +161,8 @@
 // was available, the deadline has passed or the caller has disconnected.
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonNoReplica, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone:
+	case responder.ReasonNoReplica, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
+		responder.ReasonPartBlocked:
 		return false
 	}
 	return true
@@ -158,6 +175,9 @@
 		return failure
 	}
 	defer slot.Release()
+	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address}); err != nil {
+		return blockedFailure(c, responder.NotRun, err)
+	}
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if c.Route.IsRepeatable() {
@@ -224,6 +244,7 @@
 		return contextFailure(ctx, c, responder.Unknown)
 	}
 	slot.RecordFailure()
+	c.guard.Break()
 	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 }
 
@@ -245,8 +266,10 @@
 			return contextFailure(ctx, c, responder.Unknown)
 		}
 		slot.RecordFailure()
+		c.guard.Break()
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
+	c.guard.Complete()
 	if response.Status >= http.StatusInternalServerError {
 		slot.RecordFailure()
 	} else {
@@ -274,9 +297,26 @@
 	}
 }
 
+// blockedFailure returns the failure for a request that is not sent, or not waited for
+// any longer, because a part of its prompt is blocked.
+func blockedFailure(c *Call, outcome responder.Outcome, err error) *responder.Failure {
+	if outcome != responder.NotRun {
+		return c.failure(http.StatusBadGateway, outcome, responder.ReasonPartBlocked, err.Error())
+	}
+	f := c.failure(http.StatusServiceUnavailable, outcome, responder.ReasonPartBlocked, err.Error())
+	blocked := &breaker.BlockedError{}
+	if errors.As(err, &blocked) {
+		f.RetryAfter = blocked.RetryAfter
+	}
+	return f
+}
+
 // contextFailure returns the failure for a request whose context has ended, by its
-// deadline or because the caller disconnected.
+// deadline, because the caller disconnected or because a part of its prompt is blocked.
 func contextFailure(ctx context.Context, c *Call, outcome responder.Outcome) *responder.Failure {
+	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
+		return blockedFailure(c, outcome, cause)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status := http.StatusGatewayTimeout
 		if outcome == responder.NotRun {
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -53,6 +53,7 @@
 		case readErr == nil:
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
 			slot.RecordSuccess()
+			c.guard.Complete()
 			r.writeHeader(a, s, response)
 			return nil
 		default:
@@ -86,6 +87,7 @@
 	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		slot.RecordProgress()
+		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
 		r.writeHeader(a, s, response)
 		if err := a.Write(s.pending[:valid]); err != nil {
 			return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
@@ -150,5 +152,6 @@
 		return contextFailure(ctx, c, responder.Unknown)
 	}
 	slot.RecordFailure()
+	c.guard.Break()
 	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, err.Error())
 }
