Do not pass a stream as complete that ended before its first event

An answer may come with neither a length nor chunks and end with its connection. A runner that closed such a stream before its first event (one that crashes) gave the caller a complete, empty success.

Cause: the end of the connection was taken for the end of the body whatever had come before. An end within an event was noticed before; the cases for it passed. Why this works: a stream has at least one event, so without any the runner broke it off. An end between two events cannot be told from the end of the stream; such a stream no longer proves its parts sound.

--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -113,8 +113,12 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Body ends with io.EOF only if the response is complete.
+	// Body ends with io.EOF only if the response is complete, or if it EndsWithConnection
+	// and the connection was closed.
 	Body io.Reader
+	// EndsWithConnection is set if the response has neither a length nor chunks, so that
+	// its end cannot be told from a closed connection.
+	EndsWithConnection bool
 
 	response *http.Response
 	conn     *conn
@@ -160,7 +164,8 @@
 		return nil, &Error{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
 	}
 	a := &Response{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, stop: stop}
-	a.idleTimeout = maxIdleTime(response)
+	a.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	a.idleTimeout = a.maxIdleTime()
 	a.mayKeep = a.idleTimeout > 0
 	select {
 	case err := <-written:
@@ -192,11 +197,11 @@
 
 // maxIdleTime returns how long the connection may stay idle after the response, or at
 // most 0 if it must be closed.
-func maxIdleTime(r *http.Response) time.Duration {
-	if r.Close || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
+func (a *Response) maxIdleTime() time.Duration {
+	if a.response.Close || a.EndsWithConnection {
 		return 0
 	}
-	seconds, ok := keepAliveTimeout(r.Header.Get("Keep-Alive"))
+	seconds, ok := keepAliveTimeout(a.Header.Get("Keep-Alive"))
 	if !ok {
 		return DefaultIdleTimeout
 	}
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -111,8 +111,13 @@
 		writeWithoutEnd(c)
 	case "hang_up":
 	default:
+		if unframed, ok := strings.CutPrefix(behavior, "unframed "); ok {
+			_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nContent-Type: text/event-stream\r\n")
+			writeStream(c, unframed, func(s string) string { return s }, "")
+			return
+		}
 		_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-		writeStream(c, behavior)
+		writeStream(c, behavior, func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }, "0\r\n\r\n")
 	}
 }
 
@@ -126,27 +131,28 @@
 	}
 }
 
-// writeStream writes the stream described by "stream FIRST-LAST ENDING".
-func writeStream(w io.Writer, behavior string) {
+// writeStream writes the stream described by "stream FIRST-LAST ENDING". frame returns a
+// piece as it is sent, and end follows the last one of a complete body.
+func writeStream(w io.Writer, behavior string, frame func(s string) string, end string) {
 	first, last, ending := 0, 0, ""
 	if _, err := fmt.Sscanf(behavior, "stream %d-%d %s", &first, &last, &ending); err != nil {
 		panic(err)
 	}
-	chunk := func(s string) { _, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(s), s) }
+	write := func(s string) { _, _ = io.WriteString(w, frame(s)) }
 	for i := first; i <= last; i++ {
-		chunk(fmt.Sprintf("id: %d\ndata: x\n\n", i))
+		write(fmt.Sprintf("id: %d\ndata: x\n\n", i))
 	}
 	switch ending {
 	case "end":
-		_, _ = io.WriteString(w, "0\r\n\r\n")
+		_, _ = io.WriteString(w, end)
 	case "gap":
-		chunk(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
-		_, _ = io.WriteString(w, "0\r\n\r\n")
+		write(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
+		_, _ = io.WriteString(w, end)
 	case "torn":
-		chunk(fmt.Sprintf("id: %d\nda", last+1))
+		write(fmt.Sprintf("id: %d\nda", last+1))
 	case "torn_end":
-		chunk(fmt.Sprintf("id: %d\nda", last+1))
-		_, _ = io.WriteString(w, "0\r\n\r\n")
+		write(fmt.Sprintf("id: %d\nda", last+1))
+		_, _ = io.WriteString(w, end)
 	}
 }
 
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -25,6 +25,7 @@
 	idField  = []byte("id:")
 
 	errOutOfOrder = errors.New("an event of the stream is out of order")
+	errNoEvent    = errors.New("the connection was closed before the first event")
 )
 
 // stream is the state of a streamed response to the caller, over all attempts.
@@ -33,13 +34,15 @@
 	started bool
 	// lastID is the ID of the last event that the caller has received.
 	lastID string
-	// pending holds received bytes that do not yet form a complete event.
-	pending []byte
+	// pending holds received bytes that do not yet form a complete event, and hasEvent is
+	// set once the current attempt has sent one.
+	pending  []byte
+	hasEvent bool
 }
 
 // relayStream forwards complete events to the caller until the response ends.
 func (r *Relayer) relayStream(ctx context.Context, c *Call, a *ResponseWriter, s *stream, slot *balancer.Slot, response *requester.Response) *responder.Failure {
-	s.pending = s.pending[:0]
+	s.pending, s.hasEvent = s.pending[:0], false
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, readErr := response.Body.Read(buffer)
@@ -51,9 +54,13 @@
 		}
 		switch {
 		case readErr == nil:
+		case errors.Is(readErr, io.EOF) && response.EndsWithConnection && !s.hasEvent:
+			return r.streamFailure(ctx, c, slot, errNoEvent)
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
 			slot.RecordSuccess()
-			c.guard.Complete()
+			if !response.EndsWithConnection {
+				c.guard.Complete()
+			}
 			r.writeHeader(a, s, response)
 			return nil
 		default:
@@ -86,6 +93,7 @@
 	end += len(eventEnd)
 	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
+		s.hasEvent = true
 		slot.RecordProgress()
 		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
 		r.writeHeader(a, s, response)
