Keep to the limits that runners name, over all nodes together

What callers saw: nothing; runners in need got twice and more of what they had said they take.

Cause: no part of the system read the limit. The balancer knew a target's free slots only, and each node chose for itself. Evidence: TestLimitsOfRunnersAreKept failed on the code before (six of eight limited runners, up to 60 requests where 33 are allowed).

Change: the limit is read in platform/, kept with the target's load, and each node sends its fixed part through a token bucket; heartbeats tell what was named or lifted, with its age. Why it works: the parts add up to the limit whoever sends, and since at most one node for each half request a second has a part, full buckets add little.

--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -173,8 +173,10 @@
 	}
 	n.suspects = map[string]time.Time{}
 	n.tracker = &tracker.Tracker{}
-	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Suspected: n.recordSuspect}
+	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Self: s.Name, Suspected: n.recordSuspect}
 	n.balancer.IsConnected = func(t balancer.Target) bool { return n.Client.HasIdle(t.Address) }
+	n.balancer.Limited = n.logLimit
+	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesPart, Log: n.Log}
 	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -151,7 +151,7 @@
 	b.ReachesStore = n.reachesStore()
 	local := n.balancer.LocalLoad()
 	b.InFlight, b.Quiet, b.Demand = local.InFlight, local.Quiet, local.Demand
-	b.Suspects, b.Failing = local.Suspects, local.Failing
+	b.Suspects, b.Failing, b.Limits = local.Suspects, local.Failing, local.Limits
 	if limited {
 		n.limitInFlight(b, dataCenter)
 	}
@@ -192,7 +192,7 @@
 // age is counted from that stamp on this node's clock.
 func (n *Node) receiveHeartbeat(b *beater.Heartbeat) {
 	n.balancer.SetPeerLoad(b.Node, balancer.PeerReport{
-		DataCenter: b.DataCenter, Interval: b.Interval(), InFlight: b.InFlight, Quiet: b.Quiet, Demand: b.Demand, Failing: b.Failing,
+		DataCenter: b.DataCenter, Interval: b.Interval(), InFlight: b.InFlight, Quiet: b.Quiet, Demand: b.Demand, Failing: b.Failing, Limits: b.Limits,
 	})
 	if len(b.InFlightTotals) > 0 {
 		n.balancer.SetRemoteTotals(balancer.TargetTotals{Interval: b.Interval(), InFlight: b.InFlightTotals, Quiet: b.QuietTotals})
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -152,6 +152,24 @@
 	return len(b.addrs)
 }
 
+// Nodes returns the names of the nodes in a data centre, or in all of them if its name is
+// empty: this one and those that heartbeats are sent to, live or not. A node whose data
+// centre is not known yet is in each.
+func (b *Beater) Nodes(dataCenter string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names := []string{}
+	if dataCenter == "" || dataCenter == b.DataCenter {
+		names = append(names, b.Self)
+	}
+	for name := range b.addrs {
+		if p, ok := b.peers[name]; !ok || dataCenter == "" || p.DataCenter == dataCenter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Run sends and receives heartbeats at an address of this node until ctx ends.
 func (b *Beater) Run(ctx context.Context, address string) error {
 	a, err := net.ResolveUDPAddr("udp4", address)
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/store/follower"
 )
@@ -64,6 +65,8 @@
 	WantsRetries []string `cbor:"20,keyasint,omitempty"`
 	// Parts tells which parts of prompts crash runners, as far as the node knows.
 	Parts breaker.Report `cbor:"22,keyasint,omitzero"`
+	// Limits are the rates that runners have lately told the node to keep to, by runner.
+	Limits map[string]balancer.ReportedLimit `cbor:"23,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -59,12 +59,21 @@
 type Balancer struct {
 	View       func() *tracker.View
 	DataCenter string
+	// Self is the name of this node. Nodes returns the names of the nodes in a data centre,
+	// or in all of them if its name is empty, with this one; nil means that this node is the
+	// only one.
+	Self  string
+	Nodes func(dataCenter string) []string
 	// IsConnected, if set, reports whether this node has an idle connection to a target.
 	IsConnected func(t Target) bool
 	// Suspected, if set, is called for each target that this node newly suspects,
 	// with the time for which the target made no progress.
 	Suspected func(t Target, idle time.Duration)
 
+	// Limited, if set, is called when a target begins to name a limit in its responses to
+	// this node, with this node's part of it, or with 0 when the target has lifted it.
+	Limited func(t Target, perSecond, share float64)
+
 	loads sharder.Map[string, *targetLoad]
 	peers peerReports
 	// waiting is the number of waiting requests in all queues.
--- a/internal/serving/balancer/doc.go
+++ b/internal/serving/balancer/doc.go
@@ -15,6 +15,9 @@
 // sends far more than its usual rate come after those of other teams. A request that
 // cannot expect a slot in time is refused at once.
 //
+// A target may name the rate of requests that it takes from all nodes together. Each node
+// uses a fixed part of it, and the target is not chosen while that part is used up.
+//
 // A target that has requests but makes no progress for any node is suspected: it gets
 // no new requests for a while, and the requests it holds are notified so that they can
 // be retried on another target.
--- a/internal/serving/balancer/peers.go
+++ b/internal/serving/balancer/peers.go
@@ -37,6 +37,8 @@
 	Demand map[string]float64
 	// Failing lists the targets that have lately failed many requests of the node.
 	Failing []string
+	// Limits are the limits that targets have lately named to the node, or lifted.
+	Limits map[string]ReportedLimit
 }
 
 // TargetTotals is the load of the targets of another data centre, as one of its
@@ -57,6 +59,7 @@
 	Quiet    []string
 	Demand   map[string]float64
 	Failing  []string
+	Limits   map[string]ReportedLimit
 	// Suspects are the targets that this node suspects from its own observation.
 	Suspects []string
 }
@@ -114,6 +117,7 @@
 	b.addPeerCounts(&old.PeerReport, -1)
 	b.addPeerCounts(&r, 1)
 	b.recordPeerProgress(r.InFlight, r.Quiet, r.Interval, now)
+	b.setPeerLimits(r.Limits, now)
 }
 
 // addPeerCounts adds a report's counts to the loads of the targets, or subtracts them
@@ -199,7 +203,7 @@
 // LocalLoad returns what this node reports to the others.
 func (b *Balancer) LocalLoad() LocalReport {
 	now := time.Now()
-	r := LocalReport{InFlight: map[string]int{}, Demand: b.demand(now)}
+	r := LocalReport{InFlight: map[string]int{}, Demand: b.demand(now), Limits: map[string]ReportedLimit{}}
 	b.loads.Each(func(id string, l *targetLoad) bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -212,6 +216,9 @@
 		if l.ownFailures(now) > failingRate {
 			r.Failing = append(r.Failing, id)
 		}
+		if reported, ok := l.limit.report(now); ok {
+			r.Limits[id] = reported
+		}
 		if now.Before(l.locallySuspectedUntil) {
 			r.Suspects = append(r.Suspects, id)
 		}
--- a/internal/serving/balancer/stalls.go
+++ b/internal/serving/balancer/stalls.go
@@ -84,12 +84,13 @@
 	return suspected > 1 && float64(suspected) > maxSuspectShare*float64(len(alike))
 }
 
-// ClearSuspicion resets the suspicion, back-off and failure rate of a target that has
-// restarted.
+// ClearSuspicion resets the suspicion, back-off, failure rate and limit of a target that
+// has restarted.
 func (b *Balancer) ClearSuspicion(id string) {
 	l := b.load(id)
 	l.mu.Lock()
 	l.suspectedUntil, l.locallySuspectedUntil, l.avoidedUntil, l.failureRate = time.Time{}, time.Time{}, time.Time{}, 0
+	l.limit = limit{}
 	l.mu.Unlock()
 }
 
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -113,6 +113,10 @@
 	FaultyRunner string
 	// Verified is set if the response is verified to come from the runner.
 	Verified bool
+	// NamesLimit is set if the runner names the number of requests per second that it
+	// takes from all nodes together, which is then Limit.
+	NamesLimit bool
+	Limit      float64
 	// Encoded is set if the body was encoded after it left the runner.
 	Encoded bool
 }
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -197,6 +197,7 @@
 	c.attempts++
 	slot.RecordProgress()
 	inspection := r.Wire.Inspect(response.Status, response.Header)
+	recordLimit(slot, inspection)
 	switch {
 	case inspection.NotRun || inspection.Misdirected:
 		return r.refusalFailure(c, slot, response, inspection)
@@ -212,6 +213,17 @@
 	return r.relayBuffered(attempt, c, a, slot, response)
 }
 
+// recordLimit records the limit that a runner's response names, or that it names none.
+func recordLimit(slot *balancer.Slot, inspection Inspection) {
+	switch {
+	case inspection.Misdirected:
+	case inspection.NamesLimit:
+		slot.RecordLimit(inspection.Limit)
+	case inspection.Verified && !inspection.NotRun:
+		slot.RecordNoLimit()
+	}
+}
+
 // refusalFailure returns the failure for a runner's response that the request was
 // not run, and keeps other requests away from the target for a while.
 func (r *Relayer) refusalFailure(c *Call, slot *balancer.Slot, response *requester.Response, inspection Inspection) *responder.Failure {
