--- a/internal/serving/breaker/report.go
+++ b/internal/serving/breaker/report.go
@@ -87,6 +87,9 @@
 
 // soundAges returns the parts to announce. b.mu must be held.
 func (b *Breaker) soundAges(now time.Time) map[string]int64 {
+	if len(b.announced) == 0 {
+		return nil
+	}
 	ages := map[string]int64{}
 	for p, until := range b.announced {
 		at, ok := b.sound.Get(p)
