Name the breaker's crashes and candidates for what they hold

On reading the diff as a newcomer: 'crash' and 'seenCrash' did not say which was the node's own observation, and the comparison of suspects took six arguments.

--- a/internal/serving/breaker/breaker.go
+++ b/internal/serving/breaker/breaker.go
@@ -74,8 +74,8 @@
 	mu       sync.Mutex
 	evidence evidence
 	blocks   map[string]*block
-	// crashes are the crashes that this node has seen last, by runner.
-	crashes map[string]*crash
+	// localCrashes are the last crashes that this node itself has seen, by runner.
+	localCrashes map[string]*localCrash
 	// announced holds until when reports name a part that has proved sound.
 	announced map[string]time.Time
 	expiredAt time.Time
@@ -88,8 +88,8 @@
 	return time.Now()
 }
 
-// crash is a runner's end as seen by this node.
-type crash struct {
+// localCrash is the crash of a runner as this node has seen it.
+type localCrash struct {
 	at time.Time
 	// parts are the shared parts of the requests that may have caused it, with their
 	// greatest depth in a prompt.
@@ -103,14 +103,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	c := b.crashes[r.ID]
+	c := b.localCrashes[r.ID]
 	isNew := c == nil || now.Sub(c.at) > crashMergeTime
 	if isNew {
-		c = &crash{at: now, parts: map[string]int{}}
-		if b.crashes == nil {
-			b.crashes = map[string]*crash{}
+		c = &localCrash{at: now, parts: map[string]int{}}
+		if b.localCrashes == nil {
+			b.localCrashes = map[string]*localCrash{}
 		}
-		b.crashes[r.ID] = c
+		b.localCrashes[r.ID] = c
 	}
 	for depth, p := range parts {
 		c.parts[p] = max(c.parts[p], depth)
@@ -124,7 +124,7 @@
 
 // confirm adds a crash to the evidence if the runner has ended. A connection may also
 // break for other reasons.
-func (b *Breaker) confirm(r Runner, c *crash) {
+func (b *Breaker) confirm(r Runner, c *localCrash) {
 	for range confirmTries {
 		time.Sleep(confirmDelay)
 		if !b.HasEnded(r) {
@@ -143,7 +143,7 @@
 // addCrash adds a crash to the evidence against parts that have not proved sound since.
 // One that a blocked part explains does not count. b.mu must be held.
 func (b *Breaker) addCrash(runner string, at time.Time, parts map[string]int) {
-	c := seenCrash{runner, at}
+	c := crash{runner, at}
 	if b.evidence.explained.contains(c) {
 		return
 	}
@@ -263,9 +263,9 @@
 			delete(b.blocks, p)
 		}
 	}
-	for id, c := range b.crashes {
+	for id, c := range b.localCrashes {
 		if now.Sub(c.at) > reportTime {
-			delete(b.crashes, id)
+			delete(b.localCrashes, id)
 		}
 	}
 	b.sound.Each(func(p string, at time.Time) bool {
--- a/internal/serving/breaker/evidence.go
+++ b/internal/serving/breaker/evidence.go
@@ -45,20 +45,20 @@
 	crashes crashList
 }
 
-// seenCrash is the crash of a runner. Nodes see it at slightly different times, and a
+// crash is the end of a runner under its requests. Nodes see it at slightly different times, and a
 // runner may start again under its ID and crash once more.
-type seenCrash struct {
+type crash struct {
 	runner string
 	at     time.Time
 }
 
-func (c seenCrash) isSame(other seenCrash) bool {
+func (c crash) isSame(other crash) bool {
 	return c.runner == other.runner && c.at.Sub(other.at).Abs() < crashMergeTime
 }
 
-type crashList []seenCrash
+type crashList []crash
 
-func (l crashList) contains(c seenCrash) bool { return slices.ContainsFunc(l, c.isSame) }
+func (l crashList) contains(c crash) bool { return slices.ContainsFunc(l, c.isSame) }
 
 // without returns the crashes that are not in other. It reuses l.
 func (l crashList) without(other crashList) crashList {
@@ -67,12 +67,12 @@
 
 // since returns the crashes that are not before a time. It reuses l.
 func (l crashList) since(t time.Time) crashList {
-	return slices.DeleteFunc(l, func(c seenCrash) bool { return c.at.Before(t) })
+	return slices.DeleteFunc(l, func(c crash) bool { return c.at.Before(t) })
 }
 
 // spread returns the time between the first crash and the last one.
 func (l crashList) spread() time.Duration {
-	byTime := func(x, y seenCrash) int { return x.at.Compare(y.at) }
+	byTime := func(x, y crash) int { return x.at.Compare(y.at) }
 	return slices.MaxFunc(l, byTime).at.Sub(slices.MinFunc(l, byTime).at)
 }
 
@@ -86,7 +86,7 @@
 }
 
 // add records that a runner crashed under a request with a part.
-func (e *evidence) add(part string, depth int, c seenCrash, now time.Time) {
+func (e *evidence) add(part string, depth int, c crash, now time.Time) {
 	s := e.suspects[part]
 	if s == nil {
 		if len(e.suspects) >= maxSuspects {
@@ -140,50 +140,55 @@
 	e.explained = e.explained.since(oldest)
 }
 
-// verdict returns the part that explains the crashes best, with the runners that ended
-// under it, or "" if no part is to be blocked. Parts that wasSound reports come last; then
-// the one with the most crashes is chosen, and of several the deepest, which the fewest
-// sound requests have.
+// candidate is a part that may be blocked.
+type candidate struct {
+	*suspect
+	part string
+	// wasSound is set if the part has lately proved sound.
+	wasSound bool
+}
+
+// verdict returns the part that explains the crashes best, with the runners that crashed
+// under it, or "" if no part is to be blocked.
 func (e *evidence) verdict(now time.Time, wasSound func(part string) bool) (string, []string) {
-	best, bestPart, bestWasSound := (*suspect)(nil), "", false
+	candidates := []candidate{}
 	for p, s := range e.suspects {
-		sound := wasSound(p)
-		if !s.isProved(now, sound) {
-			continue
-		}
-		if best == nil || compareSuspects(s, best, p, bestPart, sound, bestWasSound) < 0 {
-			best, bestPart, bestWasSound = s, p, sound
+		c := candidate{suspect: s, part: p, wasSound: wasSound(p)}
+		if c.isProved(now) {
+			candidates = append(candidates, c)
 		}
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return "", nil
 	}
-	return bestPart, best.crashes.runners()
+	best := slices.MinFunc(candidates, compareCandidates)
+	return best.part, best.crashes.runners()
 }
 
 // isProved reports whether there is enough evidence against a part.
-func (s *suspect) isProved(now time.Time, wasSound bool) bool {
-	if len(s.crashes) < crashesToBlock || now.Sub(s.reportedAt) < verdictDelay {
+func (c *candidate) isProved(now time.Time) bool {
+	if len(c.crashes) < crashesToBlock || now.Sub(c.reportedAt) < verdictDelay {
 		return false
 	}
-	if wasSound {
-		return s.crashes.spread() >= minSoundSpread
+	if c.wasSound {
+		return c.crashes.spread() >= minSoundSpread
 	}
-	return s.crashes.spread() >= minSpread
+	return c.crashes.spread() >= minSpread
 }
 
-// compareSuspects orders two suspects x and y; the stronger one comes first.
-func compareSuspects(x, y *suspect, xPart, yPart string, xWasSound, yWasSound bool) int {
-	if xWasSound != yWasSound {
-		if yWasSound {
-			return -1
-		}
+// compareCandidates orders candidates: those that have not lately proved sound come first, then
+// those with the most crashes, then the deepest, which the fewest sound requests have.
+func compareCandidates(x, y candidate) int {
+	switch {
+	case !x.wasSound && y.wasSound:
+		return -1
+	case x.wasSound && !y.wasSound:
 		return 1
 	}
 	return cmp.Or(
 		cmp.Compare(len(y.crashes), len(x.crashes)),
 		cmp.Compare(y.depth, x.depth),
-		cmp.Compare(xPart, yPart),
+		cmp.Compare(x.part, y.part),
 	)
 }
 
--- a/internal/serving/breaker/report.go
+++ b/internal/serving/breaker/report.go
@@ -66,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	for id, c := range b.crashes {
+	for id, c := range b.localCrashes {
 		if c.isConfirmed && now.Sub(c.at) < reportTime && len(r.Crashes) < maxReportedCrashes {
 			parts := make(map[string]int, len(c.parts))
 			for p, depth := range c.parts {
