--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -227,6 +227,8 @@
 	f.mu.Lock()
 	if revision < f.revision {
 		f.mu.Unlock()
+		metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_store_old_lists_total{kind=%q}`, f.Kind)).Inc()
+		f.Log.Warn("list from the store is older than the copy and not used", "kind", f.Kind, "revision", revision, "copy_revision", f.revision, "age_ms", f.Age().Milliseconds())
 		return fmt.Errorf("list %s: list has revision %d, older than the copy's revision %d", f.Kind, revision, f.revision)
 	}
 	f.revision, f.lastChange, f.listed = revision, revision, revision
