--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -62,6 +62,10 @@
 	LapseEvery float64 `json:"lapse_every_s"`
 	// LapseMembersOnly restricts lapses to members that are not heads.
 	LapseMembersOnly bool `json:"only_members"`
+	// RestoreEvery is the mean seconds between two times at which the store comes back from
+	// a copy that is RestoreBack seconds old. Runners write their entries again within 2 s.
+	RestoreEvery float64 `json:"restore_every_s"`
+	RestoreBack  float64 `json:"restore_back_s"`
 	// MinOpen is the minimum share of the time during which at least one replica of
 	// each model must be open.
 	MinOpen float64 `json:"min_open"`
@@ -100,6 +104,18 @@
 	listed bool
 	// refuses is set if the runner refuses new connections.
 	refuses bool
+	// restored is the entry that the store has for the runner since it was restored, or nil
+	// if it has none, until restoredUntil.
+	restored      *tracker.Runner
+	restoredUntil time.Time
+}
+
+// storeCopy is what the store held at a time.
+type storeCopy struct {
+	at       time.Time
+	object   json.RawMessage
+	revision int64
+	runners  map[string]*tracker.Runner
 }
 
 // world simulates a domain with its VMs and its store.
@@ -115,8 +131,11 @@
 	// object is the stored assignment.
 	object   json.RawMessage
 	revision int64
-	engine   *matcher.Engine
-	start    time.Time
+	// era counts the restores of the store, and copies are what it may go back to.
+	era    int64
+	copies []storeCopy
+	engine *matcher.Engine
+	start  time.Time
 	// violations describe broken invariants.
 	violations []string
 	// openTicks counts the ticks in which a replica of a model was open; ticks
@@ -162,6 +181,12 @@
 func (w *world) runners() []*tracker.Runner {
 	list := []*tracker.Runner{}
 	for _, v := range w.vms {
+		if time.Now().Before(v.restoredUntil) {
+			if v.restored != nil {
+				list = append(list, v.restored)
+			}
+			continue
+		}
 		if !v.listed {
 			continue
 		}
@@ -488,6 +513,38 @@
 	if !w.isCutOff && chance(w.scenario.CutEvery) {
 		w.cutOff()
 	}
+	if chance(w.scenario.RestoreEvery) {
+		w.restoreStore()
+	}
+}
+
+// keepCopy keeps what the store holds now.
+func (w *world) keepCopy() {
+	if w.scenario.RestoreEvery == 0 {
+		return
+	}
+	c := storeCopy{at: time.Now(), object: w.object, revision: w.revision, runners: map[string]*tracker.Runner{}}
+	for _, r := range w.runners() {
+		c.runners[r.ID] = r
+	}
+	w.copies = append(w.copies, c)
+}
+
+// restoreStore has the store go back to a copy. The runners write their entries again
+// one after the other.
+func (w *world) restoreStore() {
+	i := len(w.copies) - 1
+	for i > 0 && time.Since(w.copies[i].at).Seconds() < w.scenario.RestoreBack {
+		i--
+	}
+	c := w.copies[i]
+	w.object, w.revision = c.object, c.revision
+	w.era++
+	w.copies = w.copies[:i+1]
+	for _, v := range w.vms {
+		v.restored = c.runners[v.id]
+		v.restoredUntil = time.Now().Add(time.Duration(w.rand.IntN(2000)) * time.Millisecond)
+	}
 }
 
 // lapseEntry removes a VM from the list for 5 s, as if it had lost contact with the
@@ -609,6 +666,7 @@
 	for time.Since(w.start) < time.Duration(w.scenario.Seconds)*time.Second {
 		time.Sleep(100 * time.Millisecond)
 		w.mu.Lock()
+		w.keepCopy()
 		if time.Since(w.start) > 12*time.Second {
 			w.injectFaults()
 			w.countOpen()
