Keep what runners wrote last when the store comes back from an older copy

What callers saw: runners that had left were used again, and replicas that were open had no target, because the list of a restored store replaced newer entries. The runners write what was lost again, in any order and within about two seconds, so absence or an older entry right after the return proves nothing.

Tracker.Restore takes such a list: the order of two entries of a runner is its start and its number of orders; entries that may be older do not replace the known one before the grace period is over; a runner that was leaving stays so; one that was gone is not used before the platform would have removed its entry again.

--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -73,6 +73,8 @@
 	// BootTime is when the runner started, in Unix milliseconds. A runner that
 	// restarts under the same ID has lost its state.
 	BootTime int64
+	// Orders is the number of orders that the runner has accepted since it started.
+	Orders int64
 	// Models are the models of the replica to which the runner belongs.
 	Models []string
 	// StagedModels are the models whose weights are stored on the VM.
@@ -161,6 +163,10 @@
 	// removeAt maps the IDs of runners that the store no longer lists, but which are
 	// still used, to the end of their grace period.
 	removeAt map[string]time.Time
+	// kept are the entries of a restored store that are not used yet, by ID.
+	kept map[string]keptEntry
+	// gone are the runners whose entries were removed, by ID.
+	gone     map[string]goneRunner
 	services map[string]*matcher.Service
 	view     atomic.Pointer[View]
 	// completeMembers holds the members of the replicas that were targets in the
@@ -185,6 +191,15 @@
 // removed, after the grace period if it is not 0.
 func (t *Tracker) Replace(runners []*Runner, grace time.Duration) {
 	t.mu.Lock()
+	t.kept = nil
+	t.replace(runners, grace)
+	t.publish()
+	t.mu.Unlock()
+	t.notify()
+}
+
+// replace sets all runners from a full list. t.mu must be held.
+func (t *Tracker) replace(runners []*Runner, grace time.Duration) {
 	old := t.runners
 	t.runners = map[string]*Runner{}
 	for _, r := range runners {
@@ -196,9 +211,6 @@
 			t.deferRemoval(r, grace)
 		}
 	}
-	t.publish()
-	t.mu.Unlock()
-	t.notify()
 }
 
 // Update applies changes: the runners that are new or changed, and the IDs of those
@@ -211,10 +223,12 @@
 	for _, r := range changed {
 		t.runners[r.ID] = r
 		delete(t.removeAt, r.ID)
+		delete(t.kept, r.ID)
 	}
 	for _, id := range removed {
 		r, ok := t.runners[id]
 		delete(t.runners, id)
+		delete(t.kept, id)
 		if ok {
 			t.deferRemoval(r, grace)
 		}
@@ -228,6 +242,7 @@
 // removal may be due to a store outage. Only ready runners are kept. t.mu must be
 // held.
 func (t *Tracker) deferRemoval(r *Runner, grace time.Duration) {
+	t.recordGone(r)
 	if grace <= 0 || r.State != Ready {
 		delete(t.removeAt, r.ID)
 		return
@@ -256,6 +271,8 @@
 			hasExpired = true
 		}
 	}
+	hasExpired = t.expireKept(now) || hasExpired
+	t.expireGone(now)
 	if hasExpired {
 		t.publish()
 	}
