--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -12,6 +12,7 @@
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // AssignmentKind is the kind of the assignment objects in the store.
@@ -33,7 +34,7 @@
 )
 
 // Controller forms and repairs the replicas of the domains that this node owns. All
-// fields must be set before use, except Clock, HasWaiting and StoreFailed.
+// fields must be set before use, except Clock, Eras, HasWaiting and StoreFailed.
 type Controller struct {
 	// View returns the current view of the listed runners.
 	View func() *tracker.View
@@ -48,6 +49,10 @@
 	Send     Send
 	// Probe checks whether a runner answers.
 	Probe func(ctx context.Context, m Member) ProbeResult
+	// Ask asks a runner for its report. ok is false if it does not answer.
+	Ask func(ctx context.Context, m Member) (r Report, ok bool)
+	// Eras keeps the newest era of the store; nil means that it has only one.
+	Eras *sequencer.Eras
 	// InFlight returns the number of requests from all nodes in flight at a head.
 	InFlight func(id string) int
 	// Owns reports whether this node owns a domain of a data centre.
@@ -85,8 +90,10 @@
 	// domainCount is the number of listed domains, unchanged since domainCountSince.
 	domainCount      int
 	domainCountSince time.Time
-	// created contains the object names of the assignments that are known to exist.
-	created map[string]bool
+	// created contains the object names of the assignments that are known to exist in
+	// createdEra of the store.
+	created    map[string]bool
+	createdEra int64
 	// createTriedAt is when this node last tried to create assignments.
 	createTriedAt time.Time
 	// lastDomains is the cached result of domains for lastView and lastServices.
@@ -228,6 +235,9 @@
 		s.ownedAt = time.Now()
 		s.reachableSince = s.ownedAt
 	}
+	if s.at.Era != c.era() {
+		s.hasAssignment = false
+	}
 	if !s.hasAssignment {
 		if time.Since(s.readTriedAt) < createInterval {
 			return
--- a/internal/fleet/former/create.go
+++ b/internal/fleet/former/create.go
@@ -15,6 +15,9 @@
 // this node is responsible. A single node does this for a whole data centre, so that
 // the domains there are divided among the models by their shares.
 func (c *Controller) createMissing(ctx context.Context, domains []*domain) {
+	if era := c.era(); c.createdEra != era {
+		c.created, c.createdEra = nil, era
+	}
 	missing := []*domain{}
 	for _, d := range domains {
 		if !c.created[objectName(d)] && c.CreatesAssignments(d.dataCenter) {
@@ -61,6 +64,10 @@
 			continue
 		}
 		a := Assignment{Service: d.service.Name, Domain: d.name, DataCenter: d.dataCenter, Model: models[objectName(d)]}
+		if c.IsStartup() {
+			// No runner belongs to a replica yet.
+			a.Era = c.era()
+		}
 		if err := c.createAssignment(callCtx, d, a); err != nil {
 			return err
 		}
--- a/internal/fleet/former/state.go
+++ b/internal/fleet/former/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // domainState is what this node has stored and observed about one domain. Maps are
@@ -16,12 +17,15 @@
 	// wasUnlisted is set if, at any time since the last decision, no runner of the
 	// domain was listed.
 	wasUnlisted atomic.Bool
-	// hasAssignment is set if assignment and revision are valid. It is cleared when
-	// a write fails, a runner refuses an order as fenced, or another node takes over
-	// the domain, so that the assignment is read again.
+	// hasAssignment is set if assignment and its position in the store are valid. It is
+	// cleared when a write fails, a runner refuses an order as fenced, the store was
+	// restored, or another node takes over the domain, so that the assignment is read
+	// again. The assignment then still tells what this node knew last.
 	hasAssignment bool
-	revision      int64
+	at            sequencer.Position
 	assignment    Assignment
+	// claimTriedAt is when this node last tried to claim the assignment.
+	claimTriedAt time.Time
 	// firstSeen is when this node first saw a replica in the assignment, by replica
 	// name.
 	firstSeen map[string]time.Time
--- a/internal/fleet/former/stored.go
+++ b/internal/fleet/former/stored.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // objectName returns the name of a domain's assignment object in the store.
@@ -28,38 +29,48 @@
 	if err := json.Unmarshal(o.Spec, &stored); err != nil {
 		return fmt.Errorf("decode %s: %w", objectName(d), err)
 	}
-	s.revision = o.Revision
-	s.assignment, s.hasAssignment, s.readAt = stored, true, c.clock()
-	c.Log.Info("assignment read", "domain", d.name, "revision", s.revision, "epoch", stored.Epoch, "replicas", len(stored.Replicas))
-	s.updateTimes(stored)
+	c.Log.Info("assignment read", "domain", d.name, "era", o.At.Era, "revision", o.At.Revision, "epoch", stored.Epoch,
+		"claimed_era", stored.Era, "replicas", len(stored.Replicas), "remembered_epoch", s.assignment.Epoch)
+	s.at = o.At
+	s.assignment, s.hasAssignment, s.readAt = laterAssignment(stored, s.assignment, o.At.Era), true, c.clock()
+	s.updateTimes(s.assignment)
 	return nil
 }
 
-// storeAssignment replaces the assignment if the store still has the revision that
-// was read, and reports whether it did. After a failure, the assignment is read
+// laterAssignment returns the stored assignment, or the remembered one if the store may
+// have lost that since.
+func laterAssignment(stored, remembered Assignment, era int64) Assignment {
+	if stored.Era == era || remembered.Epoch == 0 || remembered.Epoch < stored.Epoch {
+		return stored
+	}
+	return remembered
+}
+
+// storeAssignment replaces the assignment if the store still has the one that was
+// read, and reports whether it did. After a failure, the assignment is read
 // again before the next decision.
 func (c *Controller) storeAssignment(ctx context.Context, s *domainState, d *domain, a Assignment) bool {
-	revision, err := c.replaceAssignment(ctx, s.revision, d, a)
+	at, err := c.replaceAssignment(ctx, s.at, d, a)
 	if err != nil {
-		c.Log.Warn("failed to store assignment; reading it again", "domain", d.name, "revision", s.revision, "error", err)
+		c.Log.Warn("failed to store assignment; reading it again", "domain", d.name, "era", s.at.Era, "revision", s.at.Revision, "error", err)
 		c.reportStoreFailure(err)
 		s.hasAssignment = false
 		return false
 	}
-	s.revision = revision
+	s.at = at
 	return true
 }
 
-func (c *Controller) replaceAssignment(ctx context.Context, revision int64, d *domain, a Assignment) (int64, error) {
+func (c *Controller) replaceAssignment(ctx context.Context, read sequencer.Position, d *domain, a Assignment) (sequencer.Position, error) {
 	b, err := json.Marshal(a)
 	if err != nil {
-		return 0, fmt.Errorf("encode %s: %w", objectName(d), err)
+		return read, fmt.Errorf("encode %s: %w", objectName(d), err)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	written, err := c.Store.Replace(callCtx, follower.Object{Kind: AssignmentKind, Name: objectName(d), Revision: revision, Spec: b})
+	written, err := c.Store.Replace(callCtx, follower.Object{Kind: AssignmentKind, Name: objectName(d), At: read, Spec: b})
 	if err != nil {
-		return 0, fmt.Errorf("write %s: %w", objectName(d), err)
+		return read, fmt.Errorf("write %s: %w", objectName(d), err)
 	}
 	return written, nil
 }
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -53,7 +53,10 @@
 	DataCenter string `json:"data_center"`
 	// Epoch increases whenever a replica is formed or closed, and is sent with each
 	// order as its fence.
-	Epoch    int64     `json:"epoch"`
+	Epoch int64 `json:"epoch"`
+	// Era is the era of the store in which the assignment was created or last claimed. One
+	// of an earlier era may lack changes that the store has lost.
+	Era      int64     `json:"era,omitempty"`
 	Replicas []Replica `json:"replicas"`
 	// Model is the only model that the domain serves. Empty means all models of the
 	// service.
@@ -131,6 +134,15 @@
 	Reachable
 )
 
+// Report is what a runner says of itself.
+type Report struct {
+	BootTime int64
+	// Models are the models of the runner's replica.
+	Models        []string
+	Membership    tracker.Membership
+	HasMembership bool
+}
+
 // Send sends an order to its runner and returns the outcome.
 type Send func(ctx context.Context, o Order) Result
 
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -17,6 +17,7 @@
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // scenario is one entry of testdata/worlds.json: the faults that are injected into
@@ -100,6 +101,8 @@
 	// fence is the highest fence seen, maxEpoch the highest epoch of a join order.
 	fence    int64
 	maxEpoch int64
+	// orders is the number of orders accepted.
+	orders int64
 	// listed is set while the runner has an entry in the store.
 	listed bool
 	// refuses is set if the runner refuses new connections.
@@ -156,7 +159,7 @@
 	}
 	w := &world{
 		t: t, scenario: s, rand: rand.New(rand.NewPCG(seed, 7)), vms: map[string]*vm{}, engine: engine, start: time.Now(),
-		openTicks: map[string]int{}, services: map[string]*matcher.Service{"pool": {Name: "pool", Engine: engine}},
+		era: 1, openTicks: map[string]int{}, services: map[string]*matcher.Service{"pool": {Name: "pool", Engine: engine}},
 	}
 	for range s.Runners {
 		w.addVM()
@@ -192,7 +195,7 @@
 		}
 		r := &tracker.Runner{
 			ID: v.id, Service: "pool", Address: v.id, DataCenter: "dc", Domain: "d0", State: v.state, Slots: 4, BootTime: v.bootTime,
-			StagedModels: slices.Clone(v.staged), Models: slices.Clone(v.models),
+			Orders: v.orders, StagedModels: slices.Clone(v.staged), Models: slices.Clone(v.models),
 		}
 		if v.replica != "" {
 			r.HasMembership = true
@@ -203,6 +206,12 @@
 	return list
 }
 
+// writtenRunners returns the entries that runners have written since the store was last
+// restored.
+func (w *world) writtenRunners() []*tracker.Runner {
+	return slices.DeleteFunc(w.runners(), func(r *tracker.Runner) bool { return time.Now().Before(w.vms[r.ID].restoredUntil) })
+}
+
 func (w *world) addViolation(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("%6.2f s: ", time.Since(w.start).Seconds())+fmt.Sprintf(format, args...))
 }
@@ -242,6 +251,7 @@
 		return Fenced
 	}
 	v.fence = o.Fence
+	v.orders++
 	switch o.Operation {
 	case Stage:
 		w.after(v, w.model(o.Model).LoadTime, func() { v.staged = []string{o.Model} })
@@ -335,48 +345,59 @@
 	}
 }
 
-// store returns a store that holds the simulated domain's assignment.
-func (w *world) store() *follower.Store {
-	write := func(_ context.Context, o follower.Object) (int64, error) {
+// position returns the store's position.
+func (w *world) position() sequencer.Position {
+	return sequencer.Position{Era: w.era, Revision: w.revision}
+}
+
+// store returns a store that holds the simulated domain's assignment and names its era.
+func (w *world) store(eras *sequencer.Eras) *follower.Store {
+	write := func(_ context.Context, o follower.Object) (sequencer.Position, error) {
 		time.Sleep(4 * time.Millisecond)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if o.Revision != w.revision {
-			return 0, follower.ErrConflict
+		eras.Observe(w.era)
+		if o.At.Revision != w.revision {
+			return o.At, follower.ErrConflict
 		}
 		w.revision++
 		w.object = slices.Clone(o.Spec)
 		if w.rand.Float64() < w.scenario.LostShare {
-			return 0, context.DeadlineExceeded
+			return o.At, context.DeadlineExceeded
+		}
+		if !o.At.IsZero() && o.At.Era != w.era {
+			return o.At, follower.ErrOtherEra
 		}
-		return w.revision, nil
+		return w.position(), nil
 	}
 	return &follower.Store{
 		Create: write, Replace: write,
-		List: func(context.Context, string, bool) ([]follower.Object, int64, error) {
+		List: func(context.Context, string, bool) ([]follower.Object, sequencer.Position, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			eras.Observe(w.era)
 			if w.revision == 0 {
-				return nil, 0, nil
+				return nil, w.position(), nil
 			}
-			objects := []follower.Object{{Name: "pool--d0", Revision: w.revision, Spec: slices.Clone(w.object)}}
+			objects := []follower.Object{{Name: "pool--d0", At: w.position(), Spec: slices.Clone(w.object)}}
 			for i, model := range w.scenario.Elsewhere {
 				b, err := json.Marshal(Assignment{Service: "pool", Domain: fmt.Sprintf("e%d", i), Model: model})
 				if err != nil {
-					return nil, 0, err
+					return nil, w.position(), err
 				}
 				objects = append(objects, follower.Object{Name: fmt.Sprintf("pool--e%d", i), Spec: b})
 			}
-			return objects, w.revision, nil
+			return objects, w.position(), nil
 		},
 		Get: func(context.Context, string, string) (follower.Object, error) {
 			time.Sleep(4 * time.Millisecond)
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			eras.Observe(w.era)
 			if w.revision == 0 {
 				return follower.Object{}, follower.ErrNotFound
 			}
-			return follower.Object{Revision: w.revision, Spec: slices.Clone(w.object)}, nil
+			return follower.Object{At: w.position(), Spec: slices.Clone(w.object)}, nil
 		},
 	}
 }
@@ -386,19 +407,32 @@
 	tr := &tracker.Tracker{}
 	tr.SetServices(w.services)
 	w.trackers = append(w.trackers, tr)
+	eras := &sequencer.Eras{}
 	clock := func() time.Duration { return time.Since(w.start) }
 	viewAt := time.Duration(0)
 	mu := sync.Mutex{}
 	go func() {
+		listedEra, restoredAt := int64(0), time.Time{}
 		for time.Since(w.start) < time.Duration(w.scenario.Seconds)*time.Second {
 			listedAt := clock()
 			w.mu.Lock()
-			list := w.runners()
+			list, written, era := w.runners(), w.writtenRunners(), w.era
 			w.mu.Unlock()
+			eras.Observe(era)
 			if i > 0 {
 				time.Sleep(time.Duration(w.scenario.ViewLag * float64(time.Second)))
 			}
-			tr.Replace(list, 0)
+			switch {
+			case listedEra > 0 && era > listedEra:
+				tr.Restore(list, claimDelay)
+				listedEra, restoredAt = era, time.Now()
+			case time.Since(restoredAt) < claimDelay:
+				tr.Update(written, nil, 0)
+				tr.Expire()
+			default:
+				tr.Replace(list, 0)
+				listedEra = era
+			}
 			mu.Lock()
 			viewAt = listedAt
 			mu.Unlock()
@@ -406,7 +440,7 @@
 		}
 	}()
 	return &Controller{
-		View: tr.View, Clock: clock, Services: func() map[string]*matcher.Service { return w.services }, Store: w.store(), Send: w.send,
+		View: tr.View, Clock: clock, Services: func() map[string]*matcher.Service { return w.services }, Store: w.store(eras), Send: w.send, Eras: eras,
 		ViewAt: func() time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
@@ -430,6 +464,16 @@
 			}
 			return result
 		},
+		Ask: func(_ context.Context, m Member) (Report, bool) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			v := w.vms[m.ID]
+			if !v.alive || v.refuses || w.isCutOff {
+				return Report{}, false
+			}
+			membership := tracker.Membership{Replica: v.replica, Epoch: v.epoch, Rank: v.rank, State: v.memberState}
+			return Report{BootTime: v.bootTime, Models: slices.Clone(v.models), Membership: membership, HasMembership: v.replica != ""}, true
+		},
 		InFlight: func(id string) int {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- /dev/null
+++ b/internal/node/server/catalogs.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/state/ranker"
+	"marjorammoor/internal/store/follower"
+)
+
+// sendCatalogInterval is the shortest time between two times at which the configuration is
+// sent to the same node.
+const sendCatalogInterval = 400 * time.Millisecond
+
+// catalogs is what this node knows of the configuration's versions. The operators number
+// them, so their order holds whatever the store forgets.
+type catalogs struct {
+	// object is the store object of the configuration in use.
+	object atomic.Pointer[follower.Object]
+	// storedVersion is the version that the store had when it was last read. It is lower
+	// than that of the configuration in use if the store was restored from an older copy.
+	storedVersion atomic.Int64
+	// newestVersion is the newest version that another node has used.
+	newestVersion atomic.Int64
+
+	mu sync.Mutex
+	// sentAt is when the configuration was last sent to a node, by node name.
+	sentAt map[string]time.Time
+}
+
+// applyCatalogs applies a configuration that the store has.
+func (n *Node) applyCatalogs(objects []follower.Object) {
+	for _, o := range objects {
+		if o.Name != n.Platform.CatalogName || o.Deleted {
+			continue
+		}
+		if c := n.decodeCatalog(o); c != nil {
+			n.known.storedVersion.Store(c.Version)
+			n.useCatalog(c, o)
+		}
+	}
+}
+
+// receiveObject applies a configuration that another node has kept.
+func (n *Node) receiveObject(o follower.Object) {
+	if o.Kind != n.Platform.CatalogKind || o.Name != n.Platform.CatalogName {
+		return
+	}
+	if c := n.decodeCatalog(o); c != nil {
+		n.useCatalog(c, o)
+	}
+}
+
+// decodeCatalog returns nil for a configuration that cannot be decoded.
+func (n *Node) decodeCatalog(o follower.Object) *matcher.Catalog {
+	c, err := n.Platform.DecodeCatalog(o.Spec)
+	if err != nil {
+		n.Log.Error("cannot decode configuration, keeping the current one", "revision", o.At.Revision, "error", err)
+		return nil
+	}
+	return c
+}
+
+// useCatalog applies a configuration that is newer than the current one. An older or
+// equal version is ignored: the store may have been restored from a copy that lacks the
+// newest one, which stays in force.
+func (n *Node) useCatalog(c *matcher.Catalog, o follower.Object) {
+	n.catalogMu.Lock()
+	defer n.catalogMu.Unlock()
+	old := n.catalog.Load()
+	if old != nil && old.Version >= c.Version {
+		if old.Version > c.Version {
+			n.Log.Info("older configuration is not used", "version", c.Version, "used", old.Version, "era", o.At.Era, "revision", o.At.Revision)
+		}
+		return
+	}
+	n.catalog.Store(c)
+	n.known.object.Store(&o)
+	n.tracker.SetServices(c.Services)
+	n.Log.Info("configuration applied", "version", c.Version, "era", o.At.Era, "revision", o.At.Revision)
+}
+
+// catalogVersion returns the version of the configuration in use, or 0 if there is none.
+func (n *Node) catalogVersion() int64 {
+	if c := n.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// mayConfirmCatalog reports whether the configuration in use may be the newest one as far
+// as the other nodes know. A node that has just started does not know before it has heard
+// of another one.
+func (n *Node) mayConfirmCatalog() bool {
+	if time.Since(n.startedAt) < peerDiscoveryTime && len(n.beater.Live()) == 0 {
+		return false
+	}
+	return n.catalogVersion() >= n.known.newestVersion.Load()
+}
+
+// recordCatalogVersion records the version that another node uses. If that node and the
+// store lack the one in use here, a single node sends it.
+func (n *Node) recordCatalogVersion(b *beater.Heartbeat) {
+	for {
+		newest := n.known.newestVersion.Load()
+		if b.CatalogVersion <= newest || n.known.newestVersion.CompareAndSwap(newest, b.CatalogVersion) {
+			break
+		}
+	}
+	own := n.catalogVersion()
+	if b.CatalogVersion >= own || own <= n.known.storedVersion.Load() || b.Era != n.Platform.Eras.Newest() {
+		return
+	}
+	if n.sendsCatalog(b.Node) && n.known.mayResend(b.Node) {
+		n.sendCatalog(b)
+	}
+}
+
+// sendsCatalog reports whether this node is the one to send the configuration in use to
+// a node that lacks it.
+func (n *Node) sendsCatalog(to string) bool {
+	names := []string{n.Settings.Name}
+	for _, p := range n.beater.Live() {
+		if p.CatalogVersion >= n.catalogVersion() && !p.Leaving {
+			names = append(names, p.Node)
+		}
+	}
+	return ranker.First(to, names) == n.Settings.Name
+}
+
+func (n *Node) sendCatalog(b *beater.Heartbeat) {
+	o := n.known.object.Load()
+	if o == nil {
+		return
+	}
+	if err := n.beater.SendObject(b.Node, *o); err != nil {
+		n.Log.Warn("configuration that the store lacks cannot be sent", "peer", b.Node, "version", n.catalogVersion(), "error", err)
+		return
+	}
+	n.Log.Info("configuration that the store lacks is sent", "peer", b.Node, "version", n.catalogVersion(), "stored_version", n.known.storedVersion.Load(), "peer_version", b.CatalogVersion)
+}
+
+// mayResend reports whether the configuration was not sent to a node lately.
+func (c *catalogs) mayResend(node string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.sentAt[node]) < sendCatalogInterval {
+		return false
+	}
+	if c.sentAt == nil {
+		c.sentAt = map[string]time.Time{}
+	}
+	c.sentAt[node] = time.Now()
+	return true
+}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -29,6 +29,7 @@
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/sharder"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 	"marjorammoor/internal/timing/repeater"
 )
 
@@ -78,7 +79,10 @@
 	// Client sends requests to runners; nil means that the node creates one.
 	Client *requester.Client
 
-	catalog   atomic.Pointer[matcher.Catalog]
+	catalog atomic.Pointer[matcher.Catalog]
+	// catalogMu is held while the configuration is replaced.
+	catalogMu sync.Mutex
+	known     catalogs
 	tracker   *tracker.Tracker
 	balancer  *balancer.Balancer
 	breaker   *breaker.Breaker
@@ -182,8 +186,8 @@
 	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
-		Replace: func(objects []follower.Object, _ time.Duration) { n.applyCatalogs(objects) },
-		Update:  n.applyCatalogs,
+		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
+		Update:  n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
 	}
 	n.runners = &follower.Follower{
 		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
@@ -192,12 +196,14 @@
 	for _, f := range []*follower.Follower{n.catalogs, n.runners} {
 		f.IsWatchedByPeer = func() bool { return n.isWatchedByPeer(f) }
 		f.OnChanges = n.publish
+		f.Eras = p.Eras
+		f.OnRestoredList = func(objects []follower.Object, at sequencer.Position) { n.publishList(f.Kind, objects, at) }
 	}
 	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
-	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillHeartbeat, OnHeartbeat: n.receiveHeartbeat, OnChanges: n.applyPeerChanges, OnGrant: n.receiveGrant, Log: n.Log}
+	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillHeartbeat, OnHeartbeat: n.receiveHeartbeat, OnChanges: n.applyPeerChanges, OnListPart: n.applyPeerList, OnObject: n.receiveObject, OnGrant: n.receiveGrant, Log: n.Log}
 	n.announcer = &announcer.Announcer{
 		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
-		Store: p.Store, Found: n.beater.AddPeer, Log: n.Log,
+		Store: p.Store, Era: p.Eras.Newest, Found: n.beater.AddPeer, Log: n.Log,
 	}
 	n.former = &former.Controller{
 		View:               n.tracker.View,
@@ -206,6 +212,8 @@
 		Store:              p.Store,
 		Send:               p.Send,
 		Probe:              p.Probe,
+		Ask:                p.Ask,
+		Eras:               p.Eras,
 		InFlight:           n.balancer.InFlight,
 		HasWaiting:         n.balancer.HasWaiting,
 		Owns:               n.owns,
--- a/internal/node/server/objects.go
+++ b/internal/node/server/objects.go
@@ -7,34 +7,13 @@
 	"marjorammoor/internal/store/follower"
 )
 
-// applyCatalogs applies a configuration that is newer than the current one. An
-// older or equal version is ignored.
-func (n *Node) applyCatalogs(objects []follower.Object) {
-	for _, o := range objects {
-		if o.Name != n.Platform.CatalogName || o.Deleted {
-			continue
-		}
-		c, err := n.Platform.DecodeCatalog(o.Spec)
-		if err != nil {
-			n.Log.Error("cannot decode configuration, keeping the current one", "revision", o.Revision, "error", err)
-			continue
-		}
-		old := n.catalog.Load()
-		if old != nil && old.Version >= c.Version {
-			continue
-		}
-		n.catalog.Store(c)
-		n.tracker.SetServices(c.Services)
-		n.Log.Info("configuration applied", "version", c.Version, "revision", o.Revision)
-	}
-}
-
 // replaceRunners applies a full list of runners. After a store outage longer than
 // maxTrustedOutage, runners missing from the list are kept for reregisterGrace,
-// because their entries may have expired while the runners kept running.
-func (n *Node) replaceRunners(objects []follower.Object, outage time.Duration) {
-	if n.hasRunnerList.Load() && outage > maxTrustedOutage {
-		n.expectReregistration(outage)
+// because their entries may have expired while the runners kept running. A list of a
+// store that was restored may have older entries, and none of runners that are new since.
+func (n *Node) replaceRunners(objects []follower.Object, l follower.Listing) {
+	if n.hasRunnerList.Load() && (l.Restored || l.Outage > maxTrustedOutage) {
+		n.expectReregistration(l.Outage)
 	}
 	list := make([]*tracker.Runner, 0, len(objects))
 	for _, o := range objects {
@@ -42,9 +21,14 @@
 			list = append(list, r)
 		}
 	}
-	n.tracker.Replace(list, n.removalGrace())
+	if l.Restored {
+		kept := n.tracker.Restore(list, reregisterGrace)
+		n.Log.Info("entries of the restored store are older; those known before are kept for a while", "kept", kept)
+	} else {
+		n.tracker.Replace(list, n.removalGrace())
+	}
 	n.hasRunnerList.Store(true)
-	n.Log.Info("runner list applied", "runners", len(list), "entries", len(objects), "outage_ms", outage.Milliseconds())
+	n.Log.Info("runner list applied", "runners", len(list), "entries", len(objects), "outage_ms", l.Outage.Milliseconds(), "restored", l.Restored)
 }
 
 // expectReregistration keeps runners whose entries are removed now for reregisterGrace,
@@ -70,7 +54,7 @@
 		if r == nil {
 			removed = append(removed, o.Name)
 			if isWatcher {
-				n.Log.Info("runner is gone", "runner", o.Name, "revision", o.Revision, "deleted", o.Deleted)
+				n.Log.Info("runner is gone", "runner", o.Name, "revision", o.At.Revision, "deleted", o.Deleted)
 			}
 			continue
 		}
@@ -79,12 +63,12 @@
 		case !ok:
 			added++
 			if isWatcher {
-				n.Log.Info("runner is new", "runner", r.ID, "service", r.Service, "address", r.Address, "domain", r.Domain, "revision", o.Revision)
+				n.Log.Info("runner is new", "runner", r.ID, "service", r.Service, "address", r.Address, "domain", r.Domain, "revision", o.At.Revision)
 			}
 		case hasChanged(old, r):
 			changed++
 			if isWatcher {
-				n.logChange(r, o.Revision)
+				n.logChange(r, o.At.Revision)
 			}
 		}
 		if ok && old.BootTime != r.BootTime {
@@ -131,7 +115,7 @@
 	}
 	r, err := n.Platform.DecodeRunner(o.Name, o.Spec)
 	if err != nil {
-		n.Log.Warn("cannot decode runner entry, treating the runner as removed", "name", o.Name, "revision", o.Revision, "error", err)
+		n.Log.Warn("cannot decode runner entry, treating the runner as removed", "name", o.Name, "revision", o.At.Revision, "error", err)
 		return nil
 	}
 	return r
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -9,6 +9,7 @@
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 const (
@@ -34,10 +35,10 @@
 )
 
 // reachesStore reports whether this node reaches the store: no store call has failed
-// within storeFailurePause and its copies are recent.
+// within storeFailurePause and its copies are recent and of the newest era.
 func (n *Node) reachesStore() bool {
 	failed := follower.Now()-time.Duration(n.storeFailedAt.Load()) < storeFailurePause && n.storeFailedAt.Load() > 0
-	return !failed && n.catalogs.Age() < maxStoreAge && n.runners.Age() < maxStoreAge
+	return !failed && n.catalogs.IsOfNewestEra() && n.runners.IsOfNewestEra() && n.catalogs.Age() < maxStoreAge && n.runners.Age() < maxStoreAge
 }
 
 func (n *Node) recordStoreFailure() { n.storeFailedAt.Store(int64(follower.Now())) }
@@ -134,6 +135,27 @@
 	}
 }
 
+// publishList sends a list of a new era that this node has read to the other nodes of the
+// data centre, unless one of them seems to have read it before.
+func (n *Node) publishList(kind string, objects []follower.Object, at sequencer.Position) {
+	for _, p := range n.beater.Live() {
+		if p.DataCenter == n.Settings.DataCenter && p.Era == at.Era && p.ReachesStore && !p.Leaving {
+			return
+		}
+	}
+	n.beater.PublishList(kind, objects, at)
+}
+
+// applyPeerList applies a part of a list that another node has read.
+func (n *Node) applyPeerList(p follower.ListPart) {
+	switch p.Kind {
+	case n.Platform.RunnerKind:
+		n.runners.ApplyPeerList(p)
+	case n.Platform.CatalogKind:
+		n.catalogs.ApplyPeerList(p)
+	}
+}
+
 // applyPeerChanges applies changes that another node's watch returned.
 func (n *Node) applyPeerChanges(c follower.Changes) {
 	switch c.Kind {
@@ -149,6 +171,7 @@
 func (n *Node) fillHeartbeat(b *beater.Heartbeat, dataCenter string, limited bool) {
 	b.Leaving = n.stopping.Load()
 	b.ReachesStore = n.reachesStore()
+	b.Era, b.CatalogVersion = n.Platform.Eras.Newest(), n.catalogVersion()
 	local := n.balancer.LocalLoad()
 	b.InFlight, b.Quiet, b.Demand = local.InFlight, local.Quiet, local.Demand
 	b.Suspects, b.Failing, b.Limits = local.Suspects, local.Failing, local.Limits
@@ -191,6 +214,8 @@
 // confirmed only if the heartbeat echoes a time stamp of this node, because their
 // age is counted from that stamp on this node's clock.
 func (n *Node) receiveHeartbeat(b *beater.Heartbeat) {
+	n.Platform.Eras.Observe(b.Era)
+	n.recordCatalogVersion(b)
 	n.balancer.SetPeerLoad(b.Node, balancer.PeerReport{
 		DataCenter: b.DataCenter, Interval: b.Interval(), InFlight: b.InFlight, Quiet: b.Quiet, Demand: b.Demand, Failing: b.Failing, Limits: b.Limits,
 	})
--- a/internal/node/server/settings.go
+++ b/internal/node/server/settings.go
@@ -12,6 +12,7 @@
 	"marjorammoor/internal/serving/relayer"
 	"marjorammoor/internal/serving/tracker"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // Settings are the settings of one node. Those outside Bounds are read at the start
@@ -59,6 +60,8 @@
 // Platform holds the platform-specific functions and names that a node uses.
 type Platform struct {
 	Store *follower.Store
+	// Eras keeps the newest era that the store or another node has named.
+	Eras *sequencer.Eras
 	// CatalogKind and RunnerKind are the object kinds of the configuration and of
 	// the runner entries. CatalogName is the name of the configuration object.
 	CatalogKind   string
@@ -70,6 +73,8 @@
 	Send former.Send
 	// Probe checks whether a runner answers.
 	Probe func(ctx context.Context, m former.Member) former.ProbeResult
+	// Ask asks a runner for its report.
+	Ask func(ctx context.Context, m former.Member) (former.Report, bool)
 	// Wire builds requests to runners and reads their responses.
 	Wire *relayer.Wire
 	// ParseRequest parses a caller's request without reading its body.
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -49,6 +49,8 @@
 	changesKind = 3
 	relayKind   = 4
 	grantKind   = 5
+	listKind    = 6
+	objectKind  = 7
 	// echoBytes is the length of the echo that precedes the encoded heartbeat: SentAt and
 	// Start of the last heartbeat that the sender received from this receiver.
 	echoBytes = 16
@@ -76,6 +78,11 @@
 	OnHeartbeat func(b *Heartbeat)
 	// OnChanges, if set, is called with changes in the store that another node sent.
 	OnChanges func(c follower.Changes)
+	// OnListPart, if set, is called with the parts of a list that another node has read.
+	OnListPart func(p follower.ListPart)
+	// OnObject, if set, is called with an object that another node has sent to this one
+	// because the store may have lost it.
+	OnObject func(o follower.Object)
 	// OnGrant, if set, is called with the retries that another node has given.
 	OnGrant func(g Grant)
 	// Transmit sends a datagram; nil means from the socket of Run.
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // node is a beater that records the heartbeats and changes it receives.
@@ -167,14 +168,14 @@
 	for _, bad := range []string{"", "x", "\x01", "\x0112345678123456789", "\x02\xff\xff", "\x03\xff\xff", "\x04\xff\xff"} {
 		_, _ = fmt.Fprint(conn, bad)
 	}
-	a.Publish(follower.Changes{Kind: "servers", Since: 3, Revision: 5, Objects: []follower.Object{{Name: "i-1", Revision: 5, Spec: []byte(`{"a":1}`)}}})
+	a.Publish(follower.Changes{Kind: "servers", Since: at(3), At: at(5), Objects: []follower.Object{{Name: "i-1", At: at(5), Spec: []byte(`{"a":1}`)}}})
 	eventually(t, "the change was not received", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		return len(b.changes) == 1
 	})
 	got := b.changes[0]
-	if got.Kind != "servers" || got.Since != 3 || got.Revision != 5 || got.Objects[0].Kind != "servers" || string(got.Objects[0].Spec) != `{"a":1}` {
+	if got.Kind != "servers" || got.Since != at(3) || got.At != at(5) || got.Objects[0].Kind != "servers" || string(got.Objects[0].Spec) != `{"a":1}` {
 		t.Errorf("unexpected changes: %+v", got)
 	}
 	time.Sleep(50 * time.Millisecond)
@@ -190,21 +191,21 @@
 func TestRepeatedChanges(t *testing.T) {
 	b := &Beater{}
 	change := func(since, revision int64, names ...string) follower.Changes {
-		c := follower.Changes{Kind: "k", Since: since, Revision: revision}
+		c := follower.Changes{Kind: "k", Since: at(since), At: at(revision)}
 		for _, name := range names {
-			c.Objects = append(c.Objects, follower.Object{Name: name, Revision: revision})
+			c.Objects = append(c.Objects, follower.Object{Name: name, At: at(revision)})
 		}
 		return c
 	}
 	b.withPrevious(change(3, 5, "x", "y"))
 	got := b.withPrevious(change(5, 8, "y", "z"))
-	if got.Since != 3 || got.Revision != 8 || len(got.Objects) != 3 || got.Objects[0].Name != "x" || got.Objects[1].Revision != 8 {
+	if got.Since != at(3) || got.At != at(8) || len(got.Objects) != 3 || got.Objects[0].Name != "x" || got.Objects[1].At != at(8) {
 		t.Errorf("unexpected changes: %+v", got)
 	}
-	if got := b.withPrevious(change(9, 10, "z")); got.Since != 9 || len(got.Objects) != 1 {
+	if got := b.withPrevious(change(9, 10, "z")); got.Since != at(9) || len(got.Objects) != 1 {
 		t.Errorf("changes after others: %+v, want them alone", got)
 	}
-	if got := b.withPrevious(change(10, 11, "w")); got.Since != 9 || len(got.Objects) != 2 {
+	if got := b.withPrevious(change(10, 11, "w")); got.Since != at(9) || len(got.Objects) != 2 {
 		t.Errorf("unexpected changes: %+v", got)
 	}
 }
@@ -238,7 +239,7 @@
 	if groups := relayGroups(a.localPeers()); len(groups) > 5 {
 		t.Errorf("%d nodes get the changes directly, want at most 5", len(groups))
 	}
-	a.Publish(follower.Changes{Kind: "servers", Since: 3, Revision: 5, Objects: []follower.Object{{Name: "i-1", Revision: 5, Spec: []byte(`{}`)}}})
+	a.Publish(follower.Changes{Kind: "servers", Since: at(3), At: at(5), Objects: []follower.Object{{Name: "i-1", At: at(5), Spec: []byte(`{}`)}}})
 	for _, n := range others {
 		eventually(t, "a node has not received the change", func() bool {
 			n.mu.Lock()
@@ -252,26 +253,27 @@
 // over the maximum uncompressed size are rejected, because a receiver would need too
 // much memory to decompress them.
 func TestPack(t *testing.T) {
-	c := follower.Changes{Kind: "servers", Since: 3, Revision: 400}
+	c := follower.Changes{Kind: "servers", Since: at(3), At: at(400)}
 	for i := range 300 {
 		spec := fmt.Sprintf(`{"service":"pool","address":"10.1.%d.%d:8300","zone":"vake","version":"v1","batch_slots":17,"state":"ready","cold_remaining_ms":0,"sequence":%d,"born":17000000%05d,"failure_domain":"vake-d%d","preloaded":["m0"],"models":[{"name":"m0","version":1,"adapter_ids":[]}],"group":{"name":"vake-d%d-%d","epoch":%d,"rank":%d,"state":"open"}}`,
 			i/250, i%250, i*7, i*37, i/18, i/18, i/8, i/8, i%8)
-		c.Objects = append(c.Objects, follower.Object{Name: fmt.Sprintf("i-%08x", i*2654435761), Revision: int64(i + 3), Spec: []byte(spec)})
+		c.Objects = append(c.Objects, follower.Object{Name: fmt.Sprintf("i-%08x", i*2654435761), At: at(int64(i + 3)), Spec: []byte(spec)})
 	}
 	packed, err := pack(&c)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("%d bytes for %d objects", len(packed), len(c.Objects))
-	got, err := unpack(packed)
-	if err != nil || len(got.Objects) != 300 || got.Objects[299].Kind != "servers" || string(got.Objects[7].Spec) != string(c.Objects[7].Spec) {
+	got := follower.Changes{}
+	err = unpack(packed, &got)
+	if err != nil || len(got.Objects) != 300 || got.Kind != "servers" || got.Objects[299].At != at(302) || string(got.Objects[7].Spec) != string(c.Objects[7].Spec) {
 		t.Errorf("unpacked %d objects, want the 300 packed ones; error %v", len(got.Objects), err)
 	}
 	big, err := pack(&follower.Changes{Objects: []follower.Object{{Spec: bytes.Repeat([]byte("a"), maxChangesBytes-100)}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := unpack(big); err != nil {
+	if err := unpack(big, &got); err != nil {
 		t.Errorf("unpack changes of the maximum size: %v", err)
 	}
 	if _, err := pack(&follower.Changes{Objects: []follower.Object{{Spec: bytes.Repeat([]byte("a"), maxChangesBytes)}}}); !errors.Is(err, errTooLarge) {
@@ -282,16 +284,22 @@
 // FuzzDatagram checks that no datagram makes the receiver panic.
 func FuzzDatagram(f *testing.F) {
 	f.Add([]byte("\x011234567812345678\xa1\x01\x61a"))
-	packed, err := pack(&follower.Changes{Kind: "k", Revision: 2, Objects: []follower.Object{{Name: "a"}}})
+	packed, err := pack(&follower.Changes{Kind: "k", At: at(2), Objects: []follower.Object{{Name: "a"}}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(append([]byte{changesKind}, packed...))
-	message, err := encodeRelay([]localPeer{{name: "b"}}, packed)
+	message, err := encodeRelay([]localPeer{{name: "b"}}, changesKind, packed)
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(message)
+	part, err := pack(&follower.ListPart{Kind: "k", At: at(2), Parts: 1, Objects: []follower.Object{{Name: "a"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{listKind}, part...))
+	f.Add(append([]byte{objectKind}, part...))
 	b := &Beater{Self: "self", Log: slog.New(slog.DiscardHandler)}
 	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
 	f.Fuzz(func(_ *testing.T, message []byte) {
@@ -300,3 +308,6 @@
 		}
 	})
 }
+
+// at returns a position of the store's first era.
+func at(revision int64) sequencer.Position { return sequencer.Position{Era: 1, Revision: revision} }
--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -27,12 +27,14 @@
 
 var errTooLarge = errors.New("changes are too large")
 
-// relayMessage is the content of a datagram with changes that the receiver relays.
+// relayMessage is the content of a datagram that the receiver relays.
 type relayMessage struct {
-	// To are the names of the nodes to which the receiver sends the changes.
+	// To are the names of the nodes to which the receiver sends the datagram.
 	To []string `cbor:"1,keyasint"`
-	// Packed holds the changes as returned by pack.
+	// Packed holds the content of the datagram as returned by pack, and Kind is its first
+	// byte.
 	Packed []byte `cbor:"2,keyasint"`
+	Kind   byte   `cbor:"3,keyasint"`
 }
 
 // Publish sends changes in the store to the live nodes of this data centre. With
@@ -48,18 +50,24 @@
 	}
 	if err != nil {
 		datagramErrors.Inc()
-		b.Log.Warn("changes cannot be packed; peers have to read the store", "kind", c.Kind, "at", c.Revision, "objects", len(c.Objects), "error", err)
+		b.Log.Warn("changes cannot be packed; peers have to read the store", "kind", c.Kind, "revision", c.At.Revision, "objects", len(c.Objects), "error", err)
 		return
 	}
+	b.sendToLocal(changesKind, packed)
+}
+
+// sendToLocal sends a datagram to the live nodes of this data centre, to some of them by
+// way of others.
+func (b *Beater) sendToLocal(kind byte, packed []byte) {
 	for _, group := range relayGroups(b.localPeers()) {
 		if len(group) == 1 {
-			b.write(append([]byte{changesKind}, packed...), group[0].address)
+			b.write(append([]byte{kind}, packed...), group[0].address)
 			continue
 		}
-		message, err := encodeRelay(group[1:], packed)
+		message, err := encodeRelay(group[1:], kind, packed)
 		if err != nil {
 			datagramErrors.Inc()
-			b.Log.Error("changes cannot be encoded for relaying; peers have to read the store", "kind", c.Kind, "at", c.Revision, "error", err)
+			b.Log.Error("datagram cannot be encoded for relaying; peers have to read the store", "bytes", len(packed), "error", err)
 			return
 		}
 		b.write(message, group[0].address)
@@ -77,10 +85,10 @@
 	}
 	previous, ok := b.published[c.Kind]
 	b.published[c.Kind] = c
-	if !ok || previous.Revision != c.Since {
+	if !ok || previous.At != c.Since {
 		return &c
 	}
-	merged := follower.Changes{Kind: c.Kind, Since: previous.Since, Revision: c.Revision}
+	merged := follower.Changes{Kind: c.Kind, Since: previous.Since, At: c.At}
 	for _, o := range previous.Objects {
 		isNewer := func(x follower.Object) bool { return x.Name == o.Name }
 		if !slices.ContainsFunc(c.Objects, isNewer) {
@@ -122,14 +130,14 @@
 	return slices.Collect(slices.Chunk(list, size))
 }
 
-func encodeRelay(to []localPeer, packed []byte) ([]byte, error) {
-	r := relayMessage{Packed: packed}
+func encodeRelay(to []localPeer, kind byte, packed []byte) ([]byte, error) {
+	r := relayMessage{Packed: packed, Kind: kind}
 	for _, n := range to {
 		r.To = append(r.To, n.name)
 	}
 	body, err := cbor.Marshal(&r)
 	if err != nil {
-		return nil, fmt.Errorf("encode changes to relay: %w", err)
+		return nil, fmt.Errorf("encode a datagram to relay: %w", err)
 	}
 	if len(body) >= maxDatagram {
 		return nil, fmt.Errorf("%w: %d bytes", errTooLarge, len(body))
@@ -137,10 +145,10 @@
 	return append([]byte{relayKind}, body...), nil
 }
 
-// pack encodes and compresses changes. The objects of runners resemble each other, so
-// many of them fit into one datagram.
-func pack(c *follower.Changes) ([]byte, error) {
-	body, err := cbor.Marshal(c)
+// pack encodes and compresses changes or a part of a list. The objects of runners
+// resemble each other, so many of them fit into one datagram.
+func pack(content any) ([]byte, error) {
+	body, err := cbor.Marshal(content)
 	if err != nil {
 		return nil, fmt.Errorf("encode changes: %w", err)
 	}
@@ -164,49 +172,66 @@
 	return packed.Bytes(), nil
 }
 
-func unpack(packed []byte) (follower.Changes, error) {
-	c := follower.Changes{}
+func unpack(packed []byte, out any) error {
 	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxChangesBytes+1))
 	if err != nil {
-		return c, fmt.Errorf("decompress changes: %w", err)
+		return fmt.Errorf("decompress changes: %w", err)
 	}
 	if len(body) > maxChangesBytes {
-		return c, errTooLarge
+		return errTooLarge
 	}
-	if err := cbor.Unmarshal(body, &c); err != nil {
-		return c, fmt.Errorf("decode changes: %w", err)
+	if err := cbor.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("decode changes: %w", err)
 	}
-	for i := range c.Objects {
-		c.Objects[i].Kind = c.Kind
+	return nil
+}
+
+// setKind sets the kind of objects, which datagrams name once for all of them.
+func setKind(objects []follower.Object, kind string) {
+	for i := range objects {
+		objects[i].Kind = kind
 	}
-	return c, nil
 }
 
-// handleChanges decodes a datagram with changes, passes them to OnChanges and, if the
-// datagram is a relayMessage, sends them to the nodes that it names.
-func (b *Beater) handleChanges(message []byte) error {
-	packed := message[1:]
-	if message[0] == relayKind {
+// handlePacked decodes the datagrams that pack encodes and passes their content on. It
+// sends the content of a relayMessage to the nodes that the message names.
+func (b *Beater) handlePacked(kind byte, packed []byte) error {
+	switch kind {
+	case relayKind:
 		r := relayMessage{}
-		if err := cbor.Unmarshal(message[1:], &r); err != nil {
-			return fmt.Errorf("decode changes to relay: %w", err)
+		if err := cbor.Unmarshal(packed, &r); err != nil {
+			return fmt.Errorf("decode a datagram to relay: %w", err)
+		}
+		if r.Kind == relayKind {
+			return errBadDatagram
 		}
-		packed = r.Packed
 		b.relay(&r)
-	}
-	c, err := unpack(packed)
-	if err != nil {
+		return b.handlePacked(r.Kind, r.Packed)
+	case changesKind:
+		return b.handleChanges(packed)
+	case listKind:
+		return b.handleListPart(packed)
+	case objectKind:
+		return b.handleObject(packed)
+	}
+	return errBadDatagram
+}
+
+func (b *Beater) handleChanges(packed []byte) error {
+	c := follower.Changes{}
+	if err := unpack(packed, &c); err != nil {
 		return err
 	}
+	setKind(c.Objects, c.Kind)
 	if b.OnChanges != nil {
 		b.OnChanges(c)
 	}
 	return nil
 }
 
-// relay sends changes to the nodes of a relayMessage that are live.
+// relay sends the content of a relayMessage to those of its nodes that are live.
 func (b *Beater) relay(r *relayMessage) {
-	message := append([]byte{changesKind}, r.Packed...)
+	message := append([]byte{r.Kind}, r.Packed...)
 	for _, n := range b.localPeers() {
 		if slices.Contains(r.To, n.name) {
 			b.write(message, n.address)
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -67,6 +67,10 @@
 	Parts breaker.Report `cbor:"22,keyasint,omitzero"`
 	// Limits are the rates that runners have lately told the node to keep to, by runner.
 	Limits map[string]balancer.ReportedLimit `cbor:"23,keyasint,omitempty"`
+	// Era is the newest era of the store that the node knows.
+	Era int64 `cbor:"24,keyasint,omitempty"`
+	// CatalogVersion is the version of the configuration that the node uses.
+	CatalogVersion int64 `cbor:"25,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
@@ -104,10 +108,10 @@
 	return append(message, body...)
 }
 
-var errBadDatagram = errors.New("datagram is neither changes, nor a grant, nor a heartbeat with a node name")
+var errBadDatagram = errors.New("datagram is of no known kind, or a heartbeat without a node name")
 
-// handleDatagram decodes one datagram and passes its content to OnHeartbeat or
-// OnChanges.
+// handleDatagram decodes one datagram and passes its content to the function for its
+// kind.
 func (b *Beater) handleDatagram(message []byte, from *net.UDPAddr) error {
 	switch {
 	case message[0] == beatKind && len(message) > 1+echoBytes:
@@ -122,12 +126,10 @@
 		if b.recordHeartbeat(beat, from) && b.OnHeartbeat != nil {
 			b.OnHeartbeat(beat)
 		}
-	case message[0] == changesKind, message[0] == relayKind:
-		return b.handleChanges(message)
 	case message[0] == grantKind:
 		return b.handleGrant(message[1:])
 	default:
-		return errBadDatagram
+		return b.handlePacked(message[0], message[1:])
 	}
 	return nil
 }
--- a/internal/serving/announcer/announcer.go
+++ b/internal/serving/announcer/announcer.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"marjorammoor/internal/store/follower"
@@ -31,6 +32,11 @@
 	// listInterval is the time between two lists after the first one. They are needed
 	// only for nodes that have not heard of each other for long.
 	listInterval = 30 * time.Second
+	// eraCheckInterval is the time between two checks of the store's era.
+	eraCheckInterval = 500 * time.Millisecond
+	// renewSpread is the time over which the nodes announce themselves again after the
+	// store was restored, so that not all of them do so at once.
+	renewSpread = 2 * time.Second
 )
 
 // Node is the entry of a node in the store.
@@ -41,26 +47,60 @@
 	DataCenter string `json:"data_center"`
 }
 
-// Announcer announces this node and discovers the others. Set all fields before use.
+// Announcer announces this node and discovers the others. Set all fields before use, except
+// Era.
 type Announcer struct {
 	Self  Node
 	Store *follower.Store
+	// Era returns the newest era of the store; nil means that it has only one.
+	Era func() int64
 	// Found is called for each listed node, in every list.
 	Found func(name, address string)
 	Log   *slog.Logger
 }
 
-// Run announces the node and lists the other nodes until ctx ends. Each node lists after
+// Run announces the node and lists the other nodes until ctx ends, and does so again when
+// the store was restored, since it may have lost the node's entry. Each node lists after
 // it has announced itself, so of two nodes that start together at least one finds the
 // other and sends it heartbeats, from which the other learns its address.
 func (a *Announcer) Run(ctx context.Context) {
-	a.retryUntilDone(ctx, "announce this node", a.announce)
-	a.retryUntilDone(ctx, "list the nodes", func(ctx context.Context) error { return a.list(ctx, false) })
-	repeater.Every(ctx, listInterval, func() {
-		if err := a.list(ctx, true); err != nil {
-			a.Log.Debug("cannot list the nodes", "error", err)
+	era := a.announceAndList(ctx)
+	listedAt := time.Now()
+	for repeater.Sleep(ctx, eraCheckInterval) {
+		switch {
+		case a.era() != era:
+			if !repeater.Sleep(ctx, rand.N(renewSpread)) {
+				return
+			}
+			era = a.announceAndList(ctx)
+			a.Log.Info("node announced again since the store was restored", "era", era)
+		case time.Since(listedAt) < listInterval:
+			continue
+		default:
+			if err := a.list(ctx, true); err != nil {
+				a.Log.Debug("cannot list the nodes", "error", err)
+			}
 		}
+		listedAt = time.Now()
+	}
+}
+
+// announceAndList announces the node and lists the others until both have succeeded, and
+// returns the era in which the node was announced.
+func (a *Announcer) announceAndList(ctx context.Context) (era int64) {
+	a.retryUntilDone(ctx, "announce this node", func(ctx context.Context) (err error) {
+		era, err = a.announce(ctx)
+		return err
 	})
+	a.retryUntilDone(ctx, "list the nodes", func(ctx context.Context) error { return a.list(ctx, false) })
+	return era
+}
+
+func (a *Announcer) era() int64 {
+	if a.Era == nil {
+		return 0
+	}
+	return a.Era()
 }
 
 // retryUntilDone runs a task until it succeeds or ctx ends. The task's name is used
@@ -76,23 +116,24 @@
 	}
 }
 
-// announce creates the node's entry, or replaces the one of an earlier run.
-func (a *Announcer) announce(ctx context.Context) error {
+// announce creates the node's entry, or replaces the one of an earlier run, and returns
+// the store's era.
+func (a *Announcer) announce(ctx context.Context) (era int64, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	b, err := json.Marshal(a.Self)
 	if err != nil {
-		return fmt.Errorf("encode the node's entry: %w", err)
+		return 0, fmt.Errorf("encode the node's entry: %w", err)
 	}
 	o := follower.Object{Kind: Kind, Name: a.Self.Name, Spec: b}
-	_, err = a.Store.Create(callCtx, o)
+	at, err := a.Store.Create(callCtx, o)
 	if errors.Is(err, follower.ErrConflict) {
-		_, err = a.Store.Replace(callCtx, o)
+		at, err = a.Store.Replace(callCtx, o)
 	}
 	if err != nil {
-		return fmt.Errorf("write the node's entry: %w", err)
+		return 0, fmt.Errorf("write the node's entry: %w", err)
 	}
-	return nil
+	return at.Era, nil
 }
 
 // list reports all listed nodes to Found. A stale list is cheaper and may lack the
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -9,7 +9,11 @@
 //
 // While another node of the data centre watches the store, a Follower can be updated
 // by that node instead: ApplyPeerChanges applies its changes, and ConfirmFromPeer
-// compares revisions and confirms the copy.
+// compares positions and confirms the copy.
+//
+// When the store was restored from an older copy, its revisions start again in a new
+// era. A copy of an earlier era stays in use, but nothing confirms it until the kind is
+// listed in the new era, by this node or by a peer whose list ApplyPeerList applies.
 //
 // # Usage
 //
@@ -33,6 +37,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"marjorammoor/internal/store/sequencer"
 	"marjorammoor/internal/timing/repeater"
 )
 
@@ -44,6 +49,9 @@
 	ErrConflict = errors.New("object has another revision")
 	// ErrNotFound is returned when the object does not exist.
 	ErrNotFound = errors.New("no such object")
+	// ErrOtherEra is returned when the store was restored since what a call refers to was
+	// read. A write may have taken effect.
+	ErrOtherEra = errors.New("store was restored since")
 	// ErrRefused is returned when the store rejected a call and changed nothing.
 	ErrRefused = errors.New("store rejected the call")
 )
@@ -70,40 +78,51 @@
 
 // Object is one object of the store.
 type Object struct {
-	Kind     string          `cbor:"-"`
-	Name     string          `cbor:"1,keyasint"`
-	Revision int64           `cbor:"2,keyasint"`
-	Spec     json.RawMessage `cbor:"3,keyasint,omitempty"`
-	Deleted  bool            `cbor:"4,keyasint,omitempty"`
+	Kind string `cbor:"-"`
+	Name string `cbor:"1,keyasint"`
+	// At is the position of the object's last change.
+	At      sequencer.Position `cbor:"2,keyasint"`
+	Spec    json.RawMessage    `cbor:"3,keyasint,omitempty"`
+	Deleted bool               `cbor:"4,keyasint,omitempty"`
 }
 
 // Store holds the functions that call the store. If the store reported the failure,
 // the returned error wraps an error of this package. After any other error, a write
 // may have taken effect.
 type Store struct {
-	// List returns all objects of a kind and the store's revision. If stale is true,
+	// List returns all objects of a kind and the store's position. If stale is true,
 	// the call is cheaper and the list may be seconds old.
-	List func(ctx context.Context, kind string, stale bool) ([]Object, int64, error)
-	// Watch returns the changes after the revision since as soon as there is one, or
-	// none after wait. The returned revision is where the next watch continues.
-	Watch func(ctx context.Context, kind string, since int64, wait time.Duration) ([]Object, int64, error)
-	// Create stores a new object and returns its revision.
-	Create func(ctx context.Context, o Object) (int64, error)
-	// Replace stores an object if its stored revision still is o.Revision, and
-	// returns the new revision. An o.Revision of 0 stores it unconditionally.
-	Replace func(ctx context.Context, o Object) (int64, error)
+	List func(ctx context.Context, kind string, stale bool) ([]Object, sequencer.Position, error)
+	// Watch returns the changes after a position as soon as there is one, or none after
+	// wait. The returned position is where the next watch continues.
+	Watch func(ctx context.Context, kind string, since sequencer.Position, wait time.Duration) ([]Object, sequencer.Position, error)
+	// Create stores a new object and returns its position.
+	Create func(ctx context.Context, o Object) (sequencer.Position, error)
+	// Replace stores an object if its stored position still is o.At, and returns the new
+	// one. A zero o.At stores it unconditionally.
+	Replace func(ctx context.Context, o Object) (sequencer.Position, error)
 	Delete  func(ctx context.Context, kind, name string) error
 	Get     func(ctx context.Context, kind, name string) (Object, error)
 }
 
+// Listing describes a full list that is applied to a copy.
+type Listing struct {
+	// Outage is the age of the copy before the list, which is 24 hours for the first one.
+	Outage time.Duration
+	// Restored is set if the copy was of an earlier era. The list may lack what its authors
+	// have written since the store's older copy, until they write it again.
+	Restored bool
+}
+
 // Follower keeps the copy of one kind. Set Kind, Store, Replace, Update and Log
 // before use.
 type Follower struct {
 	Kind  string
 	Store *Store
-	// Replace is called with the full list. outage is the age of the copy before the
-	// list, which is 24 hours for the first one.
-	Replace func(objects []Object, outage time.Duration)
+	// Eras keeps the newest known era of the store; nil means that it has only one.
+	Eras *sequencer.Eras
+	// Replace is called with the full list.
+	Replace func(objects []Object, l Listing)
 	// Update is called with the changes that are newer than the copy, in order.
 	Update func(changes []Object)
 	// IsWatchedByPeer, if set, reports whether another node watches the store and sends
@@ -117,6 +136,12 @@
 	// OnChanges, if set, is called with the changes that a watch of this node
 	// returned, so that they can be sent to other nodes.
 	OnChanges func(c Changes)
+	// OnRestoredList, if set, is called with the first list that this node has read in a new
+	// era, so that it can be sent to other nodes.
+	OnRestoredList func(objects []Object, at sequencer.Position)
+	// MayConfirm, if set, reports whether the copy may be current as far as other sources
+	// than the store show.
+	MayConfirm func() bool
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
 	// MinInterval is the minimum time between the starts of two watches. Changes that
@@ -125,20 +150,27 @@
 	Log         *slog.Logger
 
 	mu sync.Mutex
-	// revision and lastChange are described at Copy. Both are 0 before the first list.
-	revision   int64
-	lastChange int64
-	// listed is the revision of the last list.
-	listed int64
+	// at is the position up to which the copy is complete and lastChange that of its last
+	// change. Both are zero before the first list, and of the same era.
+	at, lastChange sequencer.Position
+	// listed is the position of the last list.
+	listed sequencer.Position
+	// mustList is set after a failed call, until a list or another node's copy shows that
+	// the copy is complete.
+	mustList bool
 	// objectRevisions holds the revision of each object by name. Deleted objects keep
 	// theirs until the next list.
 	objectRevisions map[string]int64
+	// received holds the parts of another node's list until it is complete.
+	received partialList
+	// copyEra is the era of at. It is read without mu.
+	copyEra atomic.Int64
 	// confirmedAt is when the copy was last confirmed to be current, in nanoseconds on
 	// the clock of Now.
 	confirmedAt atomic.Int64
-	// missing is the newest revision of which another node has a change that the copy
+	// missing is the newest position of which another node has a change that the copy
 	// lacks, and behindSince when the copy fell behind; 0 if it lacks none.
-	missing     int64
+	missing     sequencer.Position
 	behindSince time.Duration
 	// storeUnavailable is set from the first failed call until the copy is current
 	// again.
@@ -169,6 +201,14 @@
 // of Now, or 0 if it never was.
 func (f *Follower) ConfirmedAt() time.Duration { return time.Duration(f.confirmedAt.Load()) }
 
+// newestEra returns the newest known era of the store.
+func (f *Follower) newestEra() int64 {
+	if f.Eras == nil {
+		return 0
+	}
+	return f.Eras.Newest()
+}
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	failures := 0
@@ -177,8 +217,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.mu.Lock()
+		f.mustList = true
+		f.mu.Unlock()
 		metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_store_failures_total{kind=%q}`, f.Kind)).Inc()
-		if !errors.Is(err, ErrHistoryGone) && !f.storeUnavailable.Swap(true) {
+		if !errors.Is(err, ErrHistoryGone) && !errors.Is(err, ErrOtherEra) && !f.storeUnavailable.Swap(true) {
 			f.Log.Warn("store cannot be read; retrying with backoff", "kind", f.Kind, "age_ms", f.Age().Milliseconds(), "error", err)
 		}
 		failures++
@@ -189,15 +232,12 @@
 	}
 }
 
-// follow lists the kind once and watches it until a call fails or ctx ends.
+// follow lists the kind if needed and watches it until a call fails or ctx ends.
 func (f *Follower) follow(ctx context.Context) error {
-	if err := f.list(ctx); err != nil {
-		return err
-	}
 	for {
 		started := time.Now()
 		wait := f.Wait
-		if f.IsWatchedByPeer != nil && f.IsWatchedByPeer() {
+		if f.hasCopy() && f.IsWatchedByPeer != nil && f.IsWatchedByPeer() {
 			if !f.mustCatchUp() {
 				if !repeater.Sleep(ctx, peerCheckInterval) {
 					return ctx.Err()
@@ -206,6 +246,12 @@
 			}
 			wait = time.Millisecond
 		}
+		if f.needsList() {
+			if err := f.list(ctx); err != nil {
+				return err
+			}
+			continue
+		}
 		if err := f.watch(ctx, wait); err != nil {
 			return err
 		}
@@ -215,45 +261,84 @@
 	}
 }
 
+func (f *Follower) hasCopy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.at.IsZero()
+}
+
+// IsOfNewestEra reports whether the copy was listed in the newest known era. Replace and
+// Update may call it.
+func (f *Follower) IsOfNewestEra() bool { return f.copyEra.Load() == f.newestEra() }
+
+// needsList reports whether a watch cannot continue from the copy.
+func (f *Follower) needsList() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at.IsZero() || f.mustList || f.at.Era != f.newestEra()
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	sent := Now()
-	outage := f.Age()
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, revision, err := f.Store.List(callCtx, f.Kind, false)
+	objects, at, err := f.Store.List(callCtx, f.Kind, false)
 	if err != nil {
 		return fmt.Errorf("list %s: %w", f.Kind, err)
 	}
+	isRestored, err := f.replace(objects, at)
+	if err != nil {
+		return fmt.Errorf("list %s: %w", f.Kind, err)
+	}
+	f.confirm(sent)
+	if isRestored && f.OnRestoredList != nil {
+		f.OnRestoredList(objects, at)
+	}
+	return nil
+}
+
+// replace applies a full list, and reports whether it is the copy's first one in a new
+// era. A list that is older than the copy or than the newest era is not used.
+func (f *Follower) replace(objects []Object, at sequencer.Position) (isRestored bool, err error) {
 	f.mu.Lock()
-	if revision < f.revision {
-		f.mu.Unlock()
+	defer f.mu.Unlock()
+	if at.Era < f.newestEra() || at.Era < f.at.Era {
+		return false, fmt.Errorf("%w: list is of era %d, the newest is %d", ErrOtherEra, at.Era, f.newestEra())
+	}
+	isRestored = !f.at.IsZero() && at.Era > f.at.Era
+	if !isRestored && at.Revision < f.at.Revision {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_store_old_lists_total{kind=%q}`, f.Kind)).Inc()
-		f.Log.Warn("list from the store is older than the copy and not used", "kind", f.Kind, "revision", revision, "copy_revision", f.revision, "age_ms", f.Age().Milliseconds())
-		return fmt.Errorf("list %s: list has revision %d, older than the copy's revision %d", f.Kind, revision, f.revision)
+		return false, fmt.Errorf("list has revision %d, older than the copy's revision %d", at.Revision, f.at.Revision)
+	}
+	if isRestored {
+		f.Log.Warn("store was restored; copy is replaced", "kind", f.Kind, "objects", len(objects), "era", at.Era, "revision", at.Revision,
+			"before_era", f.at.Era, "before_revision", f.at.Revision, "age_ms", f.Age().Milliseconds())
 	}
-	f.revision, f.lastChange, f.listed = revision, revision, revision
+	f.at, f.lastChange, f.listed, f.mustList, f.behindSince = at, at, at, false, 0
+	f.copyEra.Store(at.Era)
 	f.objectRevisions = map[string]int64{}
 	for _, o := range objects {
-		f.objectRevisions[o.Name] = o.Revision
+		f.objectRevisions[o.Name] = o.At.Revision
 	}
-	f.Replace(objects, outage)
-	f.mu.Unlock()
-	f.confirm(sent)
-	return nil
+	f.Replace(objects, Listing{Outage: f.Age(), Restored: isRestored})
+	return isRestored, nil
 }
 
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	since, lastChange := f.revision, f.lastChange
+	since, lastChange := f.at, f.lastChange
 	f.mu.Unlock()
 	sent := Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	changes, revision, err := f.Store.Watch(callCtx, f.Kind, since, wait)
+	changes, at, err := f.Store.Watch(callCtx, f.Kind, since, wait)
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", f.Kind, err)
 	}
-	f.update(changes, revision)
+	if at.Era != since.Era || at.Era != f.newestEra() {
+		return fmt.Errorf("watch %s from era %d: %w", f.Kind, since.Era, ErrOtherEra)
+	}
+	f.update(changes, at)
 	if len(changes) == 0 {
 		// The store returns no changes only after it has waited, so the copy was
 		// current until then.
@@ -262,36 +347,40 @@
 	}
 	f.confirm(sent)
 	if f.OnChanges != nil {
-		f.OnChanges(Changes{Kind: f.Kind, Since: lastChange, Revision: revision, Objects: changes})
+		f.OnChanges(Changes{Kind: f.Kind, Since: lastChange, At: at, Objects: changes})
 	}
 	return nil
 }
 
-// update applies the changes whose objects are newer than in the copy.
-func (f *Follower) update(changes []Object, revision int64) {
+// update applies the changes whose objects are newer than in the copy. It ignores changes
+// of another era than the copy's.
+func (f *Follower) update(changes []Object, at sequencer.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = max(f.revision, revision)
-	if f.revision >= f.missing {
+	if at.Era != f.at.Era {
+		return
+	}
+	f.at = sequencer.Latest(f.at, at)
+	if f.at.Covers(f.missing) {
 		f.behindSince = 0
 	}
 	newer := make([]Object, 0, len(changes))
 	for _, o := range changes {
 		// A deletion may have the revision of the object's last change.
 		known := f.objectRevisions[o.Name]
-		if o.Revision < known || o.Revision == known && !o.Deleted {
+		if o.At.Revision < known || o.At.Revision == known && !o.Deleted {
 			continue
 		}
-		// The list has all changes up to its revision. One that comes late from a peer
+		// The list has all changes up to its position. One that comes late from a peer
 		// may be of an object that the list no longer had.
-		if !o.Deleted && o.Revision <= f.listed {
+		if !o.Deleted && f.listed.Covers(o.At) {
 			continue
 		}
-		f.objectRevisions[o.Name] = o.Revision
+		f.objectRevisions[o.Name] = o.At.Revision
 		newer = append(newer, o)
 	}
 	if len(newer) > 0 {
-		f.lastChange = max(f.lastChange, revision)
+		f.lastChange = sequencer.Latest(f.lastChange, at)
 		if outage := f.Age(); outage > outageAge && f.OnOutage != nil {
 			f.OnOutage(outage)
 		}
@@ -300,8 +389,11 @@
 }
 
 // confirm sets the time at which the copy was last known to be current, unless a
-// later time is set. It ignores a time in the future, which would hide the copy's age.
+// later time is set or MayConfirm forbids it. It ignores a time in the future, which would hide the copy's age.
 func (f *Follower) confirm(at time.Duration) {
+	if f.MayConfirm != nil && !f.MayConfirm() {
+		return
+	}
 	if at > Now() {
 		f.Log.Error("confirmation for a future time ignored", "kind", f.Kind, "ahead_ms", (at - Now()).Milliseconds())
 		return
--- a/internal/store/follower/follower_test.go
+++ b/internal/store/follower/follower_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"marjorammoor/internal/store/sequencer"
 )
 
 // fakeStore is a store in memory. If historyGone is set, its next watch fails with
@@ -14,39 +16,48 @@
 	mu          sync.Mutex
 	objects     map[string]int64
 	revision    int64
+	era         int64
 	historyGone bool
 	watches     int
 	lists       int
 }
 
+// at returns a position of the first era.
+func at(revision int64) sequencer.Position { return sequencer.Position{Revision: revision} }
+
+// at returns a position of the store's era. s.mu must be held.
+func (s *fakeStore) at(revision int64) sequencer.Position {
+	return sequencer.Position{Era: s.era, Revision: revision}
+}
+
 func (s *fakeStore) store() *Store {
 	return &Store{
-		List: func(context.Context, string, bool) ([]Object, int64, error) {
+		List: func(context.Context, string, bool) ([]Object, sequencer.Position, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.lists++
 			list := []Object{}
 			for name, revision := range s.objects {
-				list = append(list, Object{Name: name, Revision: revision})
+				list = append(list, Object{Name: name, At: s.at(revision)})
 			}
-			return list, s.revision, nil
+			return list, s.at(s.revision), nil
 		},
-		Watch: func(ctx context.Context, _ string, since int64, wait time.Duration) ([]Object, int64, error) {
+		Watch: func(ctx context.Context, _ string, since sequencer.Position, wait time.Duration) ([]Object, sequencer.Position, error) {
 			time.Sleep(min(wait, 5*time.Millisecond))
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.watches++
 			if s.historyGone {
 				s.historyGone = false
-				return nil, 0, ErrHistoryGone
+				return nil, since, ErrHistoryGone
 			}
 			changes := []Object{}
 			for name, revision := range s.objects {
-				if revision > since {
-					changes = append(changes, Object{Name: name, Revision: revision})
+				if revision > since.Revision {
+					changes = append(changes, Object{Name: name, At: s.at(revision)})
 				}
 			}
-			return changes, s.revision, ctx.Err()
+			return changes, s.at(s.revision), ctx.Err()
 		},
 	}
 }
@@ -70,7 +81,7 @@
 			delete(c.revisions, o.Name)
 			continue
 		}
-		c.revisions[o.Name] = o.Revision
+		c.revisions[o.Name] = o.At.Revision
 	}
 }
 
@@ -78,7 +89,7 @@
 	c := &localCopy{revisions: map[string]int64{}}
 	f := &Follower{
 		Kind: "k", Store: s.store(), Wait: 5 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
-		Replace: func(objects []Object, _ time.Duration) {
+		Replace: func(objects []Object, _ Listing) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.revisions = map[string]int64{}
@@ -138,16 +149,16 @@
 	if err := f.list(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	f.ApplyPeerChanges(Changes{Since: 4, Revision: 9, Objects: []Object{{Name: "a", Revision: 8}}})
-	f.ApplyPeerChanges(Changes{Since: 4, Revision: 6, Objects: []Object{{Name: "a", Revision: 6}}})
-	f.ApplyPeerChanges(Changes{Since: 4, Revision: 6, Objects: []Object{{Name: "a", Revision: 6, Deleted: true}}})
+	f.ApplyPeerChanges(Changes{Since: at(4), At: at(9), Objects: []Object{{Name: "a", At: at(8)}}})
+	f.ApplyPeerChanges(Changes{Since: at(4), At: at(6), Objects: []Object{{Name: "a", At: at(6)}}})
+	f.ApplyPeerChanges(Changes{Since: at(4), At: at(6), Objects: []Object{{Name: "a", At: at(6), Deleted: true}}})
 	if r := c.revision("a"); r != 8 {
 		t.Errorf("revision %d, want 8", r)
 	}
 	if err := f.list(t.Context()); err == nil {
 		t.Error("a list from before the last change was applied")
 	}
-	f.ApplyPeerChanges(Changes{Since: 9, Revision: 10, Objects: []Object{{Name: "a", Revision: 8, Deleted: true}}})
+	f.ApplyPeerChanges(Changes{Since: at(9), At: at(10), Objects: []Object{{Name: "a", At: at(8), Deleted: true}}})
 	if r := c.revision("a"); r != 0 {
 		t.Errorf("revision %d after the deletion, want none", r)
 	}
@@ -170,19 +181,19 @@
 		t.Errorf("%d watches although another node watches", watches)
 	}
 	before := f.ConfirmedAt()
-	f.ConfirmFromPeer(Copy{LastChange: 4, Revision: 4}, Now())
+	f.ConfirmFromPeer(Copy{LastChange: at(4), At: at(4)}, Now())
 	if f.ConfirmedAt() <= before {
 		t.Error("another node's equal copy did not confirm this copy")
 	}
 	s.set("b")
 	s.set("b")
 	before = f.ConfirmedAt()
-	f.ConfirmFromPeer(Copy{LastChange: 8, Revision: 8}, Now())
+	f.ConfirmFromPeer(Copy{LastChange: at(8), At: at(8)}, Now())
 	if f.ConfirmedAt() != before {
 		t.Error("a copy that lacks a change was confirmed")
 	}
 	eventually(t, "the missed changes were not read", func() bool { return c.revision("b") == 6 })
-	f.ApplyPeerChanges(Changes{Since: 6, Revision: 9, Objects: []Object{{Name: "c", Revision: 9}}})
+	f.ApplyPeerChanges(Changes{Since: at(6), At: at(9), Objects: []Object{{Name: "c", At: at(9)}}})
 	eventually(t, "the other node's change was not applied", func() bool { return c.revision("c") == 9 })
 }
 
@@ -194,12 +205,12 @@
 	if err := f.list(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	at := f.ConfirmedAt()
-	f.ConfirmFromPeer(Copy{LastChange: 4, Revision: 4}, at-time.Second)
-	if f.ConfirmedAt() != at {
+	confirmedAt := f.ConfirmedAt()
+	f.ConfirmFromPeer(Copy{LastChange: at(4), At: at(4)}, confirmedAt-time.Second)
+	if f.ConfirmedAt() != confirmedAt {
 		t.Error("an older confirmation changed the time of the last one")
 	}
-	f.ConfirmFromPeer(Copy{LastChange: 4, Revision: 4}, Now()+time.Hour)
+	f.ConfirmFromPeer(Copy{LastChange: at(4), At: at(4)}, Now()+time.Hour)
 	if f.Age() < 0 {
 		t.Errorf("age of the copy is %v after a confirmation for a future time", f.Age())
 	}
@@ -216,8 +227,8 @@
 	f.IsWatchedByPeer = func() bool { return true }
 	go f.Run(t.Context())
 	eventually(t, "the list was not applied", func() bool { return c.revision("a") == 4 })
-	f.ApplyPeerChanges(Changes{Since: 6, Revision: 7, Objects: []Object{{Name: "b", Revision: 7}}})
-	f.ApplyPeerChanges(Changes{Since: 4, Revision: 7, Objects: []Object{{Name: "a", Revision: 6}, {Name: "b", Revision: 7}}})
+	f.ApplyPeerChanges(Changes{Since: at(6), At: at(7), Objects: []Object{{Name: "b", At: at(7)}}})
+	f.ApplyPeerChanges(Changes{Since: at(4), At: at(7), Objects: []Object{{Name: "a", At: at(6)}, {Name: "b", At: at(7)}}})
 	time.Sleep(peerRepairTime + 2*peerCheckInterval)
 	s.mu.Lock()
 	watches := s.watches
@@ -225,7 +236,7 @@
 	if watches != 0 || c.revision("a") != 6 || c.revision("b") != 7 {
 		t.Errorf("%d watches, revisions %d and %d, want none, 6 and 7", watches, c.revision("a"), c.revision("b"))
 	}
-	f.ApplyPeerChanges(Changes{Since: 9, Revision: 10, Objects: []Object{{Name: "b", Revision: 10}}})
+	f.ApplyPeerChanges(Changes{Since: at(9), At: at(10), Objects: []Object{{Name: "b", At: at(10)}}})
 	eventually(t, "the store was not read", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -242,11 +253,11 @@
 	if err := f.list(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	f.ApplyPeerChanges(Changes{Since: 91, Revision: 94, Objects: []Object{{Name: "gone", Revision: 92}, {Name: "kept", Revision: 89}}})
+	f.ApplyPeerChanges(Changes{Since: at(91), At: at(94), Objects: []Object{{Name: "gone", At: at(92)}, {Name: "kept", At: at(89)}}})
 	if c.revision("gone") != 0 || c.revision("kept") != 90 {
 		t.Errorf("revisions %d and %d, want an object that is gone to stay so and the other at 90", c.revision("gone"), c.revision("kept"))
 	}
-	f.ApplyPeerChanges(Changes{Since: 100, Revision: 105, Objects: []Object{{Name: "a", Revision: 4, Deleted: true}}})
+	f.ApplyPeerChanges(Changes{Since: at(100), At: at(105), Objects: []Object{{Name: "a", At: at(4), Deleted: true}}})
 	if c.revision("a") != 0 {
 		t.Error("a deletion after the list was not applied")
 	}
@@ -267,9 +278,9 @@
 	if err := f.list(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	f.ApplyPeerChanges(Changes{Since: 4, Revision: 5, Objects: []Object{{Name: "a", Revision: 5}}})
+	f.ApplyPeerChanges(Changes{Since: at(4), At: at(5), Objects: []Object{{Name: "a", At: at(5)}}})
 	f.confirmedAt.Store(int64(Now() - outageAge - time.Second))
-	f.ApplyPeerChanges(Changes{Since: 5, Revision: 6, Objects: []Object{{Name: "a", Revision: 6, Deleted: true}}})
+	f.ApplyPeerChanges(Changes{Since: at(5), At: at(6), Objects: []Object{{Name: "a", At: at(6), Deleted: true}}})
 	if outages != 1 || c.revision("a") != 0 {
 		t.Errorf("%d outages announced, want one; revision %d", outages, c.revision("a"))
 	}
--- a/internal/store/follower/peer.go
+++ b/internal/store/follower/peer.go
@@ -2,55 +2,117 @@
 
 import (
 	"time"
+
+	"marjorammoor/internal/store/sequencer"
 )
 
 // Changes are the changes that a watch returned.
 type Changes struct {
 	Kind string `cbor:"1,keyasint"`
-	// Since is the revision of the change before these, or a later revision if
-	// nothing changed in between. A copy with a lower revision may lack a change.
-	Since int64 `cbor:"2,keyasint"`
-	// Revision is the store's revision up to which Objects holds all changes.
-	Revision int64    `cbor:"3,keyasint"`
-	Objects  []Object `cbor:"4,keyasint"`
+	// Since is the position of the change before these, or a later one if nothing
+	// changed in between. A copy before that may lack a change.
+	Since sequencer.Position `cbor:"2,keyasint"`
+	// At is the store's position up to which Objects holds all changes.
+	At      sequencer.Position `cbor:"3,keyasint"`
+	Objects []Object           `cbor:"4,keyasint"`
 }
 
 // Copy describes the state of a node's copy of a kind.
 type Copy struct {
-	// LastChange is the revision of the last change that the copy has, or a later
-	// revision if nothing changed in between.
-	LastChange int64 `cbor:"1,keyasint"`
-	// Revision is the store's revision up to which the copy is complete.
-	Revision int64 `cbor:"2,keyasint"`
+	// LastChange is the position of the last change that the copy has, or a later one if
+	// nothing changed in between.
+	LastChange sequencer.Position `cbor:"1,keyasint"`
+	// At is the store's position up to which the copy is complete.
+	At sequencer.Position `cbor:"2,keyasint"`
 	// AgeMS is the time since the copy was last confirmed to be current, in
 	// milliseconds, rounded up.
 	AgeMS int64 `cbor:"3,keyasint"`
 }
 
+// ListPart is a part of the list that a node has read first in a new era.
+type ListPart struct {
+	Kind string             `cbor:"1,keyasint"`
+	At   sequencer.Position `cbor:"2,keyasint"`
+	// Part is the number of the part, from 0, and Parts how many there are.
+	Part    int      `cbor:"3,keyasint"`
+	Parts   int      `cbor:"4,keyasint"`
+	Objects []Object `cbor:"5,keyasint"`
+}
+
+// partialList holds the parts of a list that have been received.
+type partialList struct {
+	at    sequencer.Position
+	parts map[int][]Object
+}
+
 // Copy returns the state of this node's copy.
 func (f *Follower) Copy() Copy {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Copy{LastChange: f.lastChange, Revision: f.revision, AgeMS: f.Age().Milliseconds() + 1}
+	return Copy{LastChange: f.lastChange, At: f.at, AgeMS: f.Age().Milliseconds() + 1}
 }
 
 // ApplyPeerChanges applies changes that another node's watch returned. If the copy
 // may lack an earlier change, it ignores them and the next watch reads all missing
-// changes.
+// changes. Changes of a newer era make that era known.
 func (f *Follower) ApplyPeerChanges(c Changes) {
+	f.observe(c.At)
 	f.mu.Lock()
-	if f.revision == 0 || f.revision < c.Since {
-		f.fallBehind(c.Since)
+	if !f.at.Covers(c.Since) {
+		if c.Since.Era == f.newestEra() {
+			f.fallBehind(c.Since)
+		}
 		f.mu.Unlock()
 		return
 	}
 	f.mu.Unlock()
-	f.update(c.Objects, c.Revision)
+	f.update(c.Objects, c.At)
+}
+
+// ApplyPeerList applies a list that another node has read in a new era, once all its
+// parts have been received. A copy that is of that era already is not changed.
+func (f *Follower) ApplyPeerList(p ListPart) {
+	f.observe(p.At)
+	objects, ok := f.addPart(p)
+	if !ok {
+		return
+	}
+	if _, err := f.replace(objects, p.At); err != nil {
+		f.Log.Info("list of another node is not used", "kind", f.Kind, "reason", err)
+	}
+}
+
+// addPart adds a part of a list and returns all objects when the last part was added.
+func (f *Follower) addPart(p ListPart) (objects []Object, isComplete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at.IsZero() || p.At.Era <= f.at.Era || p.At.Era != f.newestEra() {
+		return nil, false
+	}
+	if f.received.at != p.At {
+		f.received = partialList{at: p.At, parts: map[int][]Object{}}
+	}
+	f.received.parts[p.Part] = p.Objects
+	if len(f.received.parts) < p.Parts {
+		return nil, false
+	}
+	for _, list := range f.received.parts {
+		objects = append(objects, list...)
+	}
+	f.received = partialList{}
+	return objects, true
 }
 
-// fallBehind records that the copy lacks a change of a revision. f.mu must be held.
-func (f *Follower) fallBehind(revision int64) {
-	f.missing = max(f.missing, revision)
+// observe records the era of a position that another node has named.
+func (f *Follower) observe(at sequencer.Position) {
+	if f.Eras != nil {
+		f.Eras.Observe(at.Era)
+	}
+}
+
+// fallBehind records that the copy lacks a change of a position. f.mu must be held.
+func (f *Follower) fallBehind(at sequencer.Position) {
+	f.missing = sequencer.Latest(f.missing, at)
 	if f.behindSince == 0 {
 		f.behindSince = Now()
 	}
@@ -70,19 +132,22 @@
 
 // ConfirmFromPeer compares this copy with another node's copy c, which was current
 // at when, on the clock of Now. If no change is missing here, it confirms this copy
-// as of that time. Otherwise the next watch reads the missing changes.
+// as of that time. Otherwise the next watch reads the missing changes. Copies of
+// different eras cannot be compared.
 func (f *Follower) ConfirmFromPeer(c Copy, when time.Duration) {
+	f.observe(c.At)
 	f.mu.Lock()
-	isBehind := f.revision < c.LastChange
-	if f.revision > 0 && !isBehind {
-		f.revision = max(f.revision, c.Revision)
+	if f.at.IsZero() || c.At.Era != f.newestEra() {
+		f.mu.Unlock()
+		return
 	}
-	isKnown := f.revision > 0
-	if isBehind {
+	if !f.at.Covers(c.LastChange) {
 		f.fallBehind(c.LastChange)
+		f.mu.Unlock()
+		return
 	}
+	f.at = sequencer.Latest(f.at, c.At)
+	f.mustList = false
 	f.mu.Unlock()
-	if isKnown && !isBehind {
-		f.confirm(when)
-	}
+	f.confirm(when)
 }
