Claim assignments of an earlier era anew, with the replicas that the runners report

The runners say their replica and epoch in every report, but nobody asked them.

Change: an assignment names the era in which it was claimed. One of an earlier era is not decided on before its owner has asked all runners of the domain, taken over the replicas that only they know, raised the epoch above all that were used, and stored that. Members of an unassigned replica whose head still serves are no longer free, whatever brought that about.

TestWorlds/store_restored and .../store_restored_and_late_orders failed before (TWO) and pass; TestClaims.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -252,6 +252,9 @@
 	if !s.hasAssignment || c.ViewAt() < s.readAt {
 		return
 	}
+	if s.assignment.Era != c.era() && !c.claim(ctx, s, d) {
+		return
+	}
 	c.reassign(ctx, s, d)
 	if !s.hasAssignment {
 		return
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -134,9 +134,9 @@
 }
 
 // free returns the ready and live runners that belong to no replica. A runner that
-// still serves as the head of a replica that is no longer assigned is ordered to
-// leave and not returned, unless it has confirmed that it left and only its entry does
-// not show it yet.
+// still serves as the head of a replica that is not assigned is ordered to leave. Neither
+// it nor the members that it serves with are returned, unless it has confirmed that it
+// left and only its entry does not show it yet.
 func (d *decider) free() []*tracker.Runner {
 	held := map[string]bool{}
 	for _, r := range d.out.Assignment.Replicas {
@@ -144,19 +144,37 @@
 			held[m.ID] = true
 		}
 	}
+	serving := d.servingUnassigned(held)
 	list := []*tracker.Runner{}
 	for _, x := range d.in.Runners {
 		if held[x.ID] || x.State != tracker.Ready || d.in.Dead[x.ID] {
 			continue
 		}
-		if x.HasMembership && x.Membership.Rank == 0 && !d.in.HeadLeft[x.Membership.Replica] && (x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing) {
+		if !x.HasMembership || !serving[keyOf(x)] {
+			list = append(list, x)
+			continue
+		}
+		if x.Membership.Rank == 0 {
 			d.order(Order{
 				Operation: Leave, Runner: Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime},
 				Replica: x.Membership.Replica, Epoch: x.Membership.Epoch,
 			})
+		}
+	}
+	return list
+}
+
+// servingUnassigned returns the replicas that are not assigned and whose head still
+// serves. held are the runners that belong to an assigned replica.
+func (d *decider) servingUnassigned(held map[string]bool) map[replicaKey]bool {
+	list := map[replicaKey]bool{}
+	for _, x := range d.in.Runners {
+		if held[x.ID] || !x.HasMembership || x.Membership.Rank != 0 || d.in.HeadLeft[x.Membership.Replica] || d.in.Dead[x.ID] {
 			continue
 		}
-		list = append(list, x)
+		if x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing {
+			list[keyOf(x)] = true
+		}
 	}
 	return list
 }
