Name the fingerprint of a request that may have run in its failure's line

A request that its caller repeats has another ID each time, so the logs cannot show that it is the same one that ended several runners, at several nodes. The line 'request failed' now has a fingerprint of what the runner works on (team, method, host, path, model, prompt, body) if an attempt may have run; it is computed only then.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -145,6 +145,9 @@
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(),
 			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
+		if f.Outcome == responder.Unknown {
+			args = append(args, "fingerprint", c.Fingerprint())
+		}
 	}
 	n.Log.Warn("request failed", args...)
 	if f.Started || f.Reason == responder.ReasonCallerGone {
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -61,6 +61,8 @@
 	// SharedParts are the IDs of the parts of the prompt that other requests may have
 	// too, in order.
 	SharedParts []string
+	// Prompt describes the prompt of a request for a model, as the caller sent it.
+	Prompt string
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
 	// empty.
 	LastEvent string
@@ -97,7 +99,7 @@
 	call := &relayer.Call{
 		ID: in.ID, Route: route, Service: route.PickService(), Model: in.Model, Method: in.Method,
 		Target: in.Target, Host: in.Host, Header: in.Header, Body: in.Body,
-		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, SharedParts: in.SharedParts,
+		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, SharedParts: in.SharedParts, Prompt: in.Prompt,
 		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived,
 	}
 	if failure := a.authenticate(c, in, call, age); failure != nil {
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -35,6 +35,8 @@
 	// SharedParts are the IDs of the parts of the prompt that other requests may have
 	// too, in order.
 	SharedParts []string
+	// Prompt describes the prompt of a request for a model, as the caller sent it.
+	Prompt string
 	// Priority orders waiting requests; 0 is served first.
 	Priority int
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
