Stop a repeated request that crashes runners, by the mechanism for parts of prompts

Cause: evidence against what crashes runners was kept for shared parts of prompts only. Requests without parts had none, so each node met the request as a new one, with at most two attempts each.

Change: serving/breaker keeps its evidence by key: a part, or the request itself, by a fingerprint of team, method, host, path, model, prompt and body. One evidence, one exchange between nodes, one bound on memory, where the suspects with the fewest crashes make room. The fingerprint is computed only while something is suspected, or after a break. Of keys with as many crashes the request is blocked, which the fewest sound requests have. New reason request_blocked (503, not run, Retry-After until it is tried again).

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -74,6 +74,7 @@
 	ReasonUnknownRoute          Reason = "unknown_route"
 	ReasonUnknownModel          Reason = "unknown_model"
 	ReasonPartBlocked           Reason = "prompt_part_blocked"
+	ReasonRequestBlocked        Reason = "request_blocked"
 )
 
 // The headers of responses.
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -182,7 +182,7 @@
 	n.balancer.Limited = n.logLimit
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
-	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesPart, Log: n.Log}
+	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
 	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
@@ -287,16 +287,16 @@
 	return n.Platform.Probe(ctx, former.Member{ID: id, Address: address})
 }
 
-// triesPart reports whether this node is the one that tries a part of prompts again when
+// triesBlocked reports whether this node is the one that tries a blocked key again when
 // its block is over.
-func (n *Node) triesPart(part string) bool {
+func (n *Node) triesBlocked(key string) bool {
 	names := []string{n.Settings.Name}
 	for _, p := range n.beater.Live() {
 		if !p.Leaving {
 			names = append(names, p.Node)
 		}
 	}
-	return ranker.First(part, names) == n.Settings.Name
+	return ranker.First(key, names) == n.Settings.Name
 }
 
 // answeredPeer reports whether another node recently got an answer from a runner.
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -181,7 +181,7 @@
 	b.Unreachable = n.former.Unreachable()
 	b.Reachable = n.indirectProbes.answered()
 	b.Loads = n.former.PendingLoads()
-	b.Parts = n.breaker.Report()
+	b.Breaker = n.breaker.Report()
 	if dataCenter == n.Settings.DataCenter {
 		b.WantsRetries = n.wantedRetries()
 	}
@@ -226,7 +226,7 @@
 		n.addSuspect(id)
 		n.balancer.Suspect(id)
 	}
-	n.breaker.Receive(&b.Parts)
+	n.breaker.Receive(&b.Breaker)
 	n.giveRetries(b)
 	n.balancer.Dispatch()
 	n.indirectProbes.recordPeerAnswers(b.Reachable)
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -63,8 +63,9 @@
 	// WantsRetries are the services for which the node has spent its share of the
 	// retry budget.
 	WantsRetries []string `cbor:"20,keyasint,omitempty"`
-	// Parts tells which parts of prompts crash runners, as far as the node knows.
-	Parts breaker.Report `cbor:"22,keyasint,omitzero"`
+	// Breaker tells which requests and parts of prompts crash runners, as far as the node
+	// knows.
+	Breaker breaker.Report `cbor:"22,keyasint,omitzero"`
 	// Limits are the rates that runners have lately told the node to keep to, by runner.
 	Limits map[string]balancer.ReportedLimit `cbor:"23,keyasint,omitempty"`
 	// Era is the newest era of the store that the node knows.
--- a/internal/serving/breaker/block.go
+++ b/internal/serving/breaker/block.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// blockTime is how long a part is blocked for the first time. Each try that fails
+	// blockTime is how long a key is blocked for the first time. Each try that fails
 	// doubles the time, up to maxBlockTime.
 	blockTime    = time.Minute
 	maxBlockTime = time.Hour
@@ -14,47 +14,51 @@
 	tryRetryAfter = time.Second
 	// forgetBlockTime is how long after its end a block is kept if no request tries it.
 	forgetBlockTime = 10 * time.Minute
-	// maxBlocks bounds the blocked parts, so that runners which crash whatever they are
-	// given do not lead to all parts being blocked.
+	// maxBlocks bounds the blocked keys, so that runners which crash whatever they are
+	// given do not lead to all keys being blocked.
 	maxBlocks = 32
 )
 
-// block is a part's block.
+// block is a key's block.
 type block struct {
 	at     time.Time
 	length time.Duration
-	// try is the request that tries the part after the block.
+	// try is the request that tries the key after the block.
 	try *Call
 }
 
 func (k *block) until() time.Time { return k.at.Add(k.length) }
 
-// block blocks a part. b.mu must be held.
-func (b *Breaker) block(part string, k *block) {
+// block blocks a key. b.mu must be held.
+func (b *Breaker) block(key string, k *block) {
 	if b.blocks == nil {
 		b.blocks = map[string]*block{}
 	}
-	b.blocks[part] = k
-	if s := b.evidence.suspects[part]; s != nil {
+	b.blocks[key] = k
+	if s := b.evidence.suspects[key]; s != nil {
 		b.evidence.explain(s.crashes)
 	}
 	b.updateAlert()
+	if isRequest(key) {
+		requestsBlocked.Inc()
+		return
+	}
 	partsBlocked.Inc()
 }
 
-// check returns a *BlockedError if a part is blocked. If the block is over and this node
-// is to try the part, c becomes the request that does, unless c is nil. b.mu must be held.
-func (b *Breaker) check(parts []string, c *Call) error {
+// check returns a *BlockedError if a key is blocked. If the block is over and this node
+// is to try the key, c becomes the request that does, unless c is nil. b.mu must be held.
+func (b *Breaker) check(keys []string, c *Call) error {
 	now := b.now()
 	tried := []*block{}
-	for _, p := range parts {
+	for _, p := range keys {
 		k := b.blocks[p]
 		switch {
 		case k == nil || k.try == c && c != nil:
 		case now.Before(k.until()):
-			return &BlockedError{Part: p, RetryAfter: k.until().Sub(now)}
+			return &BlockedError{Key: p, RetryAfter: k.until().Sub(now)}
 		case k.try != nil || b.MayTry != nil && !b.MayTry(p):
-			return &BlockedError{Part: p, RetryAfter: tryRetryAfter}
+			return &BlockedError{Key: p, RetryAfter: tryRetryAfter}
 		default:
 			tried = append(tried, k)
 		}
@@ -68,42 +72,42 @@
 	return nil
 }
 
-// recordFailedTry blocks the parts that a call has tried again, and returns the errors
+// recordFailedTry blocks the keys that a call has tried again, and returns the errors
 // for other calls with them. b.mu must be held.
 func (b *Breaker) recordFailedTry(c *Call) []*BlockedError {
 	now := b.now()
 	failed := []*BlockedError{}
-	for _, p := range c.parts {
-		k := b.blocks[p]
-		if k == nil || k.try != c {
+	for p, k := range b.blocks {
+		if k.try != c {
 			continue
 		}
 		length := min(2*k.length, maxBlockTime)
 		b.block(p, &block{at: now, length: length})
-		b.Log.Warn("prompt part is blocked again", "part", p, "runner", c.runner.ID, "for_ms", length.Milliseconds())
-		failed = append(failed, &BlockedError{Part: p, RetryAfter: length})
+		b.Log.Warn("key of requests that crash runners is blocked again", "key", p, "runner", c.runner.ID, "for_ms", length.Milliseconds())
+		failed = append(failed, &BlockedError{Key: p, RetryAfter: length})
 	}
 	return failed
 }
 
-// endTry lets another request try the parts that a call has tried. b.mu must be held.
+// endTry lets another request try the keys that a call has tried. b.mu must be held.
 func (b *Breaker) endTry(c *Call) {
-	for _, p := range c.parts {
-		if k := b.blocks[p]; k != nil && k.try == c {
+	for _, k := range b.blocks {
+		if k.try == c {
 			k.try = nil
 		}
 	}
 }
 
-// cancelCalls cancels the calls with a part that has been blocked, if no event has been
+// cancelCalls cancels the calls with a key that has been blocked, if no event has been
 // received for them yet.
 func (b *Breaker) cancelCalls(blocked []*BlockedError) {
 	if len(blocked) == 0 {
 		return
 	}
 	b.calls.Each(func(c *Call, _ struct{}) bool {
+		keys := c.keys()
 		for _, err := range blocked {
-			if slices.Contains(c.parts, err.Part) && !c.hasEvents() {
+			if slices.Contains(keys, err.Key) && !c.hasEvents() {
 				c.cancel(err)
 			}
 		}
--- a/internal/serving/breaker/breaker_test.go
+++ b/internal/serving/breaker/breaker_test.go
@@ -1,6 +1,7 @@
 package breaker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -25,10 +26,13 @@
 
 // source sends requests with the same shared parts.
 type source struct {
-	Parts     []string `json:"parts"`
-	PerSecond float64  `json:"per_second"`
-	FromMS    int      `json:"from_ms"`
-	// Varied is the number of values of the last shared part; 0 leaves it as it is.
+	Parts []string `json:"parts"`
+	// Request is the fingerprint of all its requests; if empty, each has its own.
+	Request   string  `json:"request"`
+	PerSecond float64 `json:"per_second"`
+	FromMS    int     `json:"from_ms"`
+	// Varied is the number of values of the last shared part, or of the request if there is
+	// none; 0 leaves it as it is.
 	Varied int `json:"varied"`
 }
 
@@ -50,11 +54,14 @@
 	RunMS    int        `json:"run_ms"`
 	Sources  []source   `json:"sources"`
 	Failures []incident `json:"failures"`
-	// Crashing is the part that crashes runners between two times.
+	// Crashing is the part or the request that crashes runners between two times.
 	Crashing string `json:"crashing"`
 	FromMS   int    `json:"from_ms"`
 	UntilMS  int    `json:"until_ms"`
-	// MaxCrashes bounds the crashes by the part: knownCrashes and what is sent within
+	// KnownCrashes is the number of crashes from which on such requests must not be sent; 0
+	// means knownCrashes.
+	KnownCrashes int `json:"known_crashes"`
+	// MaxCrashes bounds the crashes by it: KnownCrashes and what is sent within
 	// stabilityWindow. MaxLate bounds its requests that are sent later than that.
 	MaxCrashes int `json:"max_crashes"`
 	MaxLate    int `json:"max_late"`
@@ -74,6 +81,7 @@
 type simCall struct {
 	call       *Call
 	parts      []string
+	request    string
 	runner     *simRunner
 	begunAt    time.Duration
 	events     int
@@ -91,6 +99,8 @@
 	crashes    []time.Duration
 	late       int
 	sent, lost int
+	// unique counts the requests with a fingerprint of their own.
+	unique int
 }
 
 func TestScenarios(t *testing.T) {
@@ -185,9 +195,14 @@
 	}
 }
 
-func (s *simulation) isCrashing(parts []string) bool {
+func (s *simulation) isCrashing(c *simCall) bool {
 	now := int(s.now().Milliseconds())
-	return now >= s.FromMS && now < s.UntilMS && slices.Contains(parts, s.Crashing)
+	return now >= s.FromMS && now < s.UntilMS && s.hasCrashing(c)
+}
+
+// hasCrashing reports whether a call has what crashes runners at some time.
+func (s *simulation) hasCrashing(c *simCall) bool {
+	return s.Crashing != "" && (c.request == s.Crashing || slices.Contains(c.parts, s.Crashing))
 }
 
 func (s *simulation) sendFrom(src *source) {
@@ -195,15 +210,23 @@
 		return
 	}
 	parts := slices.Clone(src.Parts)
-	if src.Varied > 0 {
+	c := &simCall{parts: parts, request: src.Request}
+	switch {
+	case src.Varied > 0 && len(parts) > 0:
 		parts[len(parts)-1] += fmt.Sprint(s.random.IntN(src.Varied))
+	case src.Varied > 0:
+		c.request += fmt.Sprint(s.random.IntN(src.Varied))
+	}
+	if c.request == "" {
+		s.unique++
+		c.request = fmt.Sprint("unique", s.unique)
 	}
-	c := &simCall{parts: parts, isCrashing: s.isCrashing(parts)}
+	c.isCrashing = s.isCrashing(c)
 	isSent := s.send(c)
 	switch {
 	case c.isCrashing && isSent && s.isLate(0):
 		s.late++
-	case !slices.Contains(parts, s.Crashing) && s.isLate(stabilityWindow):
+	case !s.hasCrashing(c) && s.isLate(stabilityWindow):
 		s.sent++
 		if !isSent {
 			s.lost++
@@ -212,19 +235,20 @@
 }
 
 // isLate reports whether the nodes have had their time since the crash number
-// knownCrashes, or the last one, and an extra time.
+// KnownCrashes, or the last one, and an extra time.
 func (s *simulation) isLate(extra time.Duration) bool {
-	if len(s.crashes) < knownCrashes {
+	known := cmp.Or(s.KnownCrashes, knownCrashes)
+	if len(s.crashes) < known {
 		return extra > 0
 	}
-	return s.now() > s.crashes[knownCrashes-1]+stabilityWindow+extra
+	return s.now() > s.crashes[known-1]+stabilityWindow+extra
 }
 
 // send sends a request to a random runner that lives, and reports whether it was
 // admitted.
 func (s *simulation) send(c *simCall) bool {
 	b := s.nodes[s.random.IntN(len(s.nodes))]
-	call, err := b.Admit(c.parts, func(error) { c.cancelled = true })
+	call, err := b.Admit(Request{Parts: c.parts, Fingerprint: func() string { return c.request }}, func(error) { c.cancelled = true })
 	if err != nil {
 		return false
 	}
--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -1,12 +1,30 @@
 package breaker
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
-// Call is a request with shared parts, over all its attempts.
+// Request is what may crash runners: shared parts of a prompt, or the request itself.
+type Request struct {
+	// Parts are the shared parts of the prompt, in order.
+	Parts []string
+	// Fingerprint returns the same value for each repeat of the request, at any node. It is
+	// called only while something is suspected. If nil, only the parts are.
+	Fingerprint func() string
+}
+
+// requestPrefix begins the keys of whole requests, and no ID of a part.
+const requestPrefix = "request:"
+
+// Call is a request over all its attempts.
 type Call struct {
 	breaker *Breaker
-	parts   []string
+	request Request
 	cancel  func(cause error)
+	// keys returns what may be to blame for a crash: the parts in order and the request
+	// itself, which fewer sound requests have than any part.
+	keys func() []string
 
 	mu sync.Mutex
 	// runner is the runner of the current attempt, and events the number of events that
@@ -15,41 +33,49 @@
 	events int
 }
 
-// Admit registers a request until Done is called. It returns a *BlockedError if one of
-// the parts is blocked. cancel is called with such an error if a part is blocked before
-// an event was received.
-func (b *Breaker) Admit(parts []string, cancel func(cause error)) (*Call, error) {
-	c := &Call{breaker: b, parts: parts, cancel: cancel}
-	if len(parts) == 0 {
-		return c, nil
-	}
+// Admit registers a request until Done is called. It returns a *BlockedError if the
+// request or one of its parts is blocked. cancel is called with such an error if it is
+// blocked before an event was received.
+func (b *Breaker) Admit(q Request, cancel func(cause error)) (*Call, error) {
+	c := &Call{breaker: b, request: q, cancel: cancel}
+	c.keys = sync.OnceValue(q.keys)
 	b.calls.Set(c, struct{}{})
-	if err := b.checkIfAlert(parts, nil); err != nil {
+	if err := b.checkIfAlert(c, false); err != nil {
 		b.calls.Delete(c)
 		return nil, err
 	}
 	return c, nil
 }
 
-func (b *Breaker) checkIfAlert(parts []string, c *Call) error {
+func (q *Request) keys() []string {
+	if q.Fingerprint == nil {
+		return q.Parts
+	}
+	return append(slices.Clone(q.Parts), requestPrefix+q.Fingerprint())
+}
+
+// checkIfAlert checks a call while anything is suspected. If tries is set, the call may
+// become the one that tries a key again.
+func (b *Breaker) checkIfAlert(c *Call, tries bool) error {
 	if !b.isAlert.Load() {
 		return nil
 	}
+	keys := c.keys()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.check(parts, c)
+	if tries {
+		return b.check(keys, c)
+	}
+	return b.check(keys, nil)
 }
 
 // Start records that the request is about to be sent to a runner. It returns a
-// *BlockedError if one of the parts is blocked meanwhile; the request must not be sent.
+// *BlockedError if it is blocked meanwhile; the request must not be sent.
 func (c *Call) Start(r Runner) error {
 	c.mu.Lock()
 	c.runner, c.events = r, 0
 	c.mu.Unlock()
-	if len(c.parts) == 0 {
-		return nil
-	}
-	return c.breaker.checkIfAlert(c.parts, c)
+	return c.breaker.checkIfAlert(c, true)
 }
 
 // RecordEvents records that the runner has sent events.
@@ -59,8 +85,8 @@
 	c.events += n
 	isSound := before < soundEvents && c.events >= soundEvents
 	c.mu.Unlock()
-	if isSound && len(c.parts) > 0 {
-		c.breaker.proveSound(c.parts)
+	if isSound {
+		c.breaker.proveSound(c)
 	}
 }
 
@@ -72,7 +98,7 @@
 	c.mu.Lock()
 	r, isSound := c.runner, c.events >= soundEvents
 	c.mu.Unlock()
-	if isSound || len(c.parts) == 0 {
+	if isSound {
 		return
 	}
 	b := c.breaker
@@ -82,14 +108,24 @@
 		b.mu.Unlock()
 		b.cancelCalls(failed)
 	}
-	b.recordBreak(r, c.parts)
+	b.recordBreak(r, c.keys())
+}
+
+// MayRepeat reports whether the request may be sent to another runner after one broke it
+// off: no runner has ended under it or one of its parts since that last proved sound.
+func (c *Call) MayRepeat() bool {
+	b := c.breaker
+	if !b.isAlert.Load() {
+		return true
+	}
+	keys := c.keys()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !slices.ContainsFunc(keys, func(k string) bool { return b.evidence.suspects[k] != nil })
 }
 
 // Done removes the request.
 func (c *Call) Done() {
-	if len(c.parts) == 0 {
-		return
-	}
 	b := c.breaker
 	b.calls.Delete(c)
 	if b.isAlert.Load() {
--- a/internal/serving/breaker/doc.go
+++ b/internal/serving/breaker/doc.go
@@ -1,23 +1,25 @@
-// Package breaker keeps requests away from runners if a part of their prompt crashes
-// each runner that works on it. Such requests differ in everything else, come at any
-// node and end a whole fleet when they, or their repeats, are sent on.
+// Package breaker keeps requests away from runners if they crash each runner that works on
+// them. What such requests have in common is a key: a shared part of their prompts, or the
+// request itself if its caller repeats it. They come at any node and end a whole fleet when
+// they, or their repeats, are sent on.
 //
 // A runner that ends holds many requests. Only those that had sent few events yet can be
-// the cause, and a part is innocent as soon as any request with it has sent several
-// events. So the nodes tell each other, for each runner that has ended, the shared parts
-// of its requests without events, and which of these parts have proved sound. A part
+// the cause, and a key is innocent as soon as any request with it has sent several
+// events. So the nodes tell each other, for each runner that has ended, the keys
+// of its requests without events, and which of these keys have proved sound. A key
 // under which several runners have ended since it last proved sound is blocked. The ends
-// that it explains no longer count against other parts.
+// that it explains no longer count against other keys. Of keys with as many ends, the one
+// that the fewest sound requests have is blocked, which is the request itself.
 //
-// Requests with a blocked part are refused as not run, and those that have sent no event
+// Blocked requests are refused as not run, and those that have sent no event
 // yet are cancelled. When the block is over, one node tries one request. If its runner
-// ends too, the part is blocked again, for twice as long.
+// ends too, the key is blocked again, for twice as long.
 //
 // # Usage
 //
 //	b := &breaker.Breaker{HasEnded: hasEnded, Log: log}
 //	go repeater.Every(ctx, breaker.JudgeInterval, b.Judge)
-//	call, err := b.Admit(parts, cancel)
+//	call, err := b.Admit(breaker.Request{Parts: parts, Fingerprint: fingerprint}, cancel)
 //	if err != nil {
 //		// A *BlockedError; the request must not be sent.
 //	}
--- a/internal/serving/breaker/evidence.go
+++ b/internal/serving/breaker/evidence.go
@@ -8,39 +8,39 @@
 )
 
 const (
-	// crashesToBlock is the number of runners that must have ended under a part.
+	// crashesToBlock is the number of runners that must have ended under a key.
 	crashesToBlock = 3
 	// minSpread is the least time between the first and the last of these ends. Runners
 	// that fail together, with a rack or a data centre, do not show what their requests
 	// have in common.
 	minSpread = 250 * time.Millisecond
-	// minSoundSpread replaces minSpread for parts that have lately proved sound: those
+	// minSoundSpread replaces minSpread for keys that have lately proved sound: those
 	// that are used often do so again within this time if they are harmless.
 	minSoundSpread = time.Second
-	// verdictDelay is the time in which the other nodes report that a part has proved
+	// verdictDelay is the time in which the other nodes report that a key has proved
 	// sound, after the first evidence against it.
 	verdictDelay = 400 * time.Millisecond
-	// evidenceLifetime is how long evidence counts if the part does not prove sound.
+	// evidenceLifetime is how long evidence counts if the key does not prove sound.
 	evidenceLifetime = 10 * time.Minute
 	// crashMergeTime is the time within which reports of a runner's crash, and broken
 	// requests at a runner, belong to the same crash.
 	crashMergeTime = 1500 * time.Millisecond
-	// maxSuspects bounds the parts with evidence.
+	// maxSuspects bounds the keys with evidence.
 	maxSuspects = 512
 )
 
-// evidence holds the crashes of runners under parts of prompts. The zero value is empty.
+// evidence holds the crashes of runners under keys of requests. The zero value is empty.
 type evidence struct {
 	suspects map[string]*suspect
-	// explained are the crashes that a blocked part explains.
+	// explained are the crashes that a blocked key explains.
 	explained crashList
 }
 
-// suspect is a part under which runners have crashed since it last proved sound.
+// suspect is a key under which runners have crashed since it last proved sound.
 type suspect struct {
 	// reportedAt is when the first evidence became known here.
 	reportedAt time.Time
-	// depth is the greatest position of the part in a prompt; the first one is 0.
+	// depth is the greatest position of the key among those of a request; the first one is 0.
 	depth   int
 	crashes crashList
 }
@@ -85,18 +85,18 @@
 	return list
 }
 
-// add records that a runner crashed under a request with a part.
-func (e *evidence) add(part string, depth int, c crash, now time.Time) {
-	s := e.suspects[part]
+// add records that a runner crashed under a request with a key.
+func (e *evidence) add(key string, depth int, c crash, now time.Time) {
+	s := e.suspects[key]
 	if s == nil {
 		if len(e.suspects) >= maxSuspects {
-			return
+			e.dropOldest()
 		}
 		s = &suspect{reportedAt: now}
 		if e.suspects == nil {
 			e.suspects = map[string]*suspect{}
 		}
-		e.suspects[part] = s
+		e.suspects[key] = s
 	}
 	s.depth = max(s.depth, depth)
 	if !s.crashes.contains(c) {
@@ -104,10 +104,24 @@
 	}
 }
 
-// clear drops the evidence against a part from before a time, and reports whether there
+// dropOldest makes room for another suspect. It drops the one that has become known first
+// of those under which the fewest runners have crashed: mostly a request that is not sent
+// again.
+func (e *evidence) dropOldest() {
+	oldest := ""
+	for k, s := range e.suspects {
+		o := e.suspects[oldest]
+		if o == nil || len(s.crashes) < len(o.crashes) || len(s.crashes) == len(o.crashes) && s.reportedAt.Before(o.reportedAt) {
+			oldest = k
+		}
+	}
+	delete(e.suspects, oldest)
+}
+
+// clear drops the evidence against a key from before a time, and reports whether there
 // was any.
-func (e *evidence) clear(part string, before time.Time) bool {
-	s := e.suspects[part]
+func (e *evidence) clear(key string, before time.Time) bool {
+	s := e.suspects[key]
 	if s == nil {
 		return false
 	}
@@ -115,12 +129,12 @@
 	s.crashes = s.crashes.since(before)
 	hadEvidence := len(s.crashes) < count
 	if len(s.crashes) == 0 {
-		delete(e.suspects, part)
+		delete(e.suspects, key)
 	}
 	return hadEvidence
 }
 
-// explain drops crashes that a blocked part explains from the evidence against all parts.
+// explain drops crashes that a blocked key explains from the evidence against all keys.
 func (e *evidence) explain(crashes crashList) {
 	crashes = slices.Clone(crashes)
 	e.explained = append(e.explained, crashes...)
@@ -140,20 +154,20 @@
 	e.explained = e.explained.since(oldest)
 }
 
-// candidate is a part that may be blocked.
+// candidate is a key that may be blocked.
 type candidate struct {
 	*suspect
-	part string
-	// wasSound is set if the part has lately proved sound.
+	key string
+	// wasSound is set if the key has lately proved sound.
 	wasSound bool
 }
 
-// verdict returns the part that explains the crashes best, with the runners that crashed
-// under it, or "" if no part is to be blocked.
-func (e *evidence) verdict(now time.Time, wasSound func(part string) bool) (string, []string) {
+// verdict returns the key that explains the crashes best, with the runners that crashed
+// under it, or "" if no key is to be blocked.
+func (e *evidence) verdict(now time.Time, wasSound func(key string) bool) (string, []string) {
 	candidates := []candidate{}
 	for p, s := range e.suspects {
-		c := candidate{suspect: s, part: p, wasSound: wasSound(p)}
+		c := candidate{suspect: s, key: p, wasSound: wasSound(p)}
 		if c.isProved(now) {
 			candidates = append(candidates, c)
 		}
@@ -162,10 +176,10 @@
 		return "", nil
 	}
 	best := slices.MinFunc(candidates, compareCandidates)
-	return best.part, best.crashes.runners()
+	return best.key, best.crashes.runners()
 }
 
-// isProved reports whether there is enough evidence against a part.
+// isProved reports whether there is enough evidence against a key.
 func (c *candidate) isProved(now time.Time) bool {
 	if len(c.crashes) < crashesToBlock || now.Sub(c.reportedAt) < verdictDelay {
 		return false
@@ -188,9 +202,9 @@
 	return cmp.Or(
 		cmp.Compare(len(y.crashes), len(x.crashes)),
 		cmp.Compare(y.depth, x.depth),
-		cmp.Compare(x.part, y.part),
+		cmp.Compare(x.key, y.key),
 	)
 }
 
-// names returns the parts of a crash in order.
-func names(parts map[string]int) []string { return slices.Sorted(maps.Keys(parts)) }
+// names returns the keys of a crash in order.
+func names(keys map[string]int) []string { return slices.Sorted(maps.Keys(keys)) }
--- a/internal/serving/breaker/report.go
+++ b/internal/serving/breaker/report.go
@@ -7,7 +7,7 @@
 const (
 	// reportTime is how long a node reports a crash that it has seen.
 	reportTime = 10 * time.Second
-	// announceTime is how long it reports that a part has proved sound.
+	// announceTime is how long it reports that a key has proved sound.
 	announceTime = 2 * time.Second
 	// maxReportedCrashes and maxAnnounced bound a report.
 	maxReportedCrashes = 32
@@ -19,18 +19,18 @@
 // Report is what a node tells the others. Times are told as ages, since clocks differ.
 type Report struct {
 	Crashes []ReportedCrash `cbor:"1,keyasint,omitempty"`
-	// SoundMS is the age in milliseconds of the last proof that a part is sound, by part.
+	// SoundMS is the age in milliseconds of the last proof that a key is sound, by key.
 	SoundMS map[string]int64 `cbor:"2,keyasint,omitempty"`
-	// Blocks are the blocked parts.
+	// Blocks are the blocked keys.
 	Blocks map[string]ReportedBlock `cbor:"3,keyasint,omitempty"`
 }
 
-// ReportedCrash is the end of a runner, with the parts of the requests that may have
-// caused it and their greatest depth in a prompt.
+// ReportedCrash is the end of a runner, with the keys of the requests that may have
+// caused it and their greatest depth.
 type ReportedCrash struct {
 	Runner string         `cbor:"1,keyasint"`
 	AgeMS  int64          `cbor:"2,keyasint"`
-	Parts  map[string]int `cbor:"3,keyasint"`
+	Keys   map[string]int `cbor:"3,keyasint"`
 }
 
 // ReportedBlock is a block's age and its length, both in milliseconds.
@@ -52,12 +52,12 @@
 	return false
 }
 
-// announce has reports name a part that has proved sound. b.mu must be held.
-func (b *Breaker) announce(part string, now time.Time) {
+// announce has reports name a key that has proved sound. b.mu must be held.
+func (b *Breaker) announce(key string, now time.Time) {
 	if b.announced == nil {
 		b.announced = map[string]time.Time{}
 	}
-	b.announced[part] = now.Add(announceTime)
+	b.announced[key] = now.Add(announceTime)
 }
 
 // Report returns what this node tells the others.
@@ -68,11 +68,11 @@
 	now := b.now()
 	for id, c := range b.localCrashes {
 		if c.isConfirmed && now.Sub(c.at) < reportTime && len(r.Crashes) < maxReportedCrashes {
-			parts := make(map[string]int, len(c.parts))
-			for p, depth := range c.parts {
-				parts[p] = depth
+			keys := make(map[string]int, len(c.keys))
+			for p, depth := range c.keys {
+				keys[p] = depth
 			}
-			r.Crashes = append(r.Crashes, ReportedCrash{Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), Parts: parts})
+			r.Crashes = append(r.Crashes, ReportedCrash{Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), Keys: keys})
 		}
 	}
 	r.SoundMS = b.soundAges(now)
@@ -85,7 +85,7 @@
 	return r
 }
 
-// soundAges returns the parts to announce. b.mu must be held.
+// soundAges returns the keys to announce. b.mu must be held.
 func (b *Breaker) soundAges(now time.Time) map[string]int64 {
 	if len(b.announced) == 0 {
 		return nil
@@ -116,12 +116,12 @@
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
-		b.addCrash(c.Runner, ago(now, c.AgeMS), c.Parts)
+		b.addCrash(c.Runner, ago(now, c.AgeMS), c.Keys)
 	}
 	blocked := []*BlockedError{}
 	for p, k := range r.Blocks {
 		if b.receiveBlock(p, ago(now, k.AgeMS), millis(k.LengthMS)) {
-			blocked = append(blocked, &BlockedError{Part: p, RetryAfter: b.blocks[p].until().Sub(now)})
+			blocked = append(blocked, &BlockedError{Key: p, RetryAfter: b.blocks[p].until().Sub(now)})
 		}
 	}
 	b.updateAlert()
@@ -133,35 +133,35 @@
 
 func ago(now time.Time, ageMS int64) time.Time { return now.Add(-millis(max(ageMS, 0))) }
 
-// receiveSound records that a part proved sound at another node. b.mu must be held.
-func (b *Breaker) receiveSound(part string, at time.Time) {
-	b.sound.Update(part, func(old time.Time, _ bool) (time.Time, bool) {
+// receiveSound records that a key proved sound at another node. b.mu must be held.
+func (b *Breaker) receiveSound(key string, at time.Time) {
+	b.sound.Update(key, func(old time.Time, _ bool) (time.Time, bool) {
 		if old.After(at) {
 			at = old
 		}
 		return at, true
 	})
-	b.clear(part, at)
+	b.clear(key, at)
 }
 
-// receiveBlock takes over the block of a part, unless the part has proved sound since or
+// receiveBlock takes over the block of a key, unless the key has proved sound since or
 // is blocked already, and reports whether it did. b.mu must be held.
-func (b *Breaker) receiveBlock(part string, at time.Time, length time.Duration) bool {
-	if soundAt, ok := b.sound.Get(part); ok && soundAt.After(at) {
-		b.announce(part, b.now())
+func (b *Breaker) receiveBlock(key string, at time.Time, length time.Duration) bool {
+	if soundAt, ok := b.sound.Get(key); ok && soundAt.After(at) {
+		b.announce(key, b.now())
 		return false
 	}
-	if k := b.blocks[part]; k != nil && at.Sub(k.at) < sameBlockTime {
+	if k := b.blocks[key]; k != nil && at.Sub(k.at) < sameBlockTime {
 		return false
 	}
-	if b.blocks[part] == nil && len(b.blocks) >= maxBlocks {
+	if b.blocks[key] == nil && len(b.blocks) >= maxBlocks {
 		return false
 	}
 	length = min(max(length, 0), maxBlockTime)
 	if b.now().Sub(at.Add(length)) > forgetBlockTime {
 		return false
 	}
-	b.block(part, &block{at: at, length: length})
-	b.Log.Warn("prompt part is blocked, as another node reports", "part", part, "for_ms", length.Milliseconds())
+	b.block(key, &block{at: at, length: length})
+	b.Log.Warn("key of requests that crash runners is blocked, as another node reports", "key", key, "for_ms", length.Milliseconds())
 	return true
 }
--- a/internal/serving/relayer/drip_test.go
+++ b/internal/serving/relayer/drip_test.go
@@ -72,7 +72,7 @@
 		Membership: tracker.Membership{Replica: "a", Epoch: 1, State: tracker.MemberOpen},
 	}}, 0)
 	b := &balancer.Balancer{View: tr.View}
-	r := &Relayer{Balancer: b, Client: &requester.Client{}, Wire: wire(), Log: slog.New(slog.DiscardHandler)}
+	r := &Relayer{Balancer: b, Client: &requester.Client{}, Wire: wire(), Breaker: &breaker.Breaker{HasEnded: func(breaker.Runner) bool { return false }}, Log: slog.New(slog.DiscardHandler)}
 	slot, err := b.Acquire(t.Context(), &balancer.Request{Service: "s", Model: "m", Arrived: time.Now()})
 	if err != nil {
 		t.Fatal(err)
@@ -89,7 +89,12 @@
 			b.CheckStalls()
 		}
 	}()
-	c := &Call{Route: &matcher.Route{Type: matcher.Stream, Resumable: true}, Arrived: time.Now(), guard: &breaker.Call{}}
+	guard, err := r.Breaker.Admit(breaker.Request{}, cancel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer guard.Done()
+	c := &Call{Route: &matcher.Route{Type: matcher.Stream, Resumable: true}, Arrived: time.Now(), guard: guard}
 	a := &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}
 	body := &drip{ctx: ctx, events: events, every: every, bytes: 200 * time.Millisecond}
 	failure := r.relayStream(ctx, c, a, &stream{}, slot, &requester.Response{Status: http.StatusOK, Header: http.Header{}, Body: body})
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -49,8 +49,7 @@
 	Balancer *balancer.Balancer
 	Client   *requester.Client
 	Wire     *Wire
-	// Breaker tells which requests must not be sent. It may be nil if no request has
-	// SharedParts.
+	// Breaker tells which requests must not be sent.
 	Breaker *breaker.Breaker
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retrier.SharedBudget
@@ -66,7 +65,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	guard, err := r.Breaker.Admit(c.SharedParts, cancel)
+	guard, err := r.Breaker.Admit(breaker.Request{Parts: c.SharedParts, Fingerprint: c.Fingerprint}, cancel)
 	if err != nil {
 		return r.finalize(ctx, c, blockedFailure(c, responder.NotRun, err))
 	}
@@ -134,9 +133,9 @@
 		return false
 	case s.started && c.Route.Type != matcher.Stream:
 		return false
-	case f.Outcome != responder.NotRun && !r.Breaker.MayRepeat(c.SharedParts):
-		countDenied("suspect_part")
-		r.Log.Info("request is not retried, runners have ended under its parts", "request", c.ID, "reason", f.Reason, "parts", c.SharedParts)
+	case f.Outcome != responder.NotRun && !c.guard.MayRepeat():
+		countDenied("suspect")
+		r.Log.Info("request is not retried, runners have ended under it or its parts", "request", c.ID, "reason", f.Reason, "parts", c.SharedParts, "fingerprint", c.Fingerprint())
 		return false
 	case !b.Spend():
 		countDenied("budget")
@@ -162,7 +161,7 @@
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
 	case responder.ReasonNoReplica, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
-		responder.ReasonPartBlocked:
+		responder.ReasonPartBlocked, responder.ReasonRequestBlocked:
 		return false
 	}
 	return true
@@ -310,21 +309,23 @@
 }
 
 // blockedFailure returns the failure for a request that is not sent, or not waited for
-// any longer, because a part of its prompt is blocked.
+// any longer, because it or a part of its prompt is blocked.
 func blockedFailure(c *Call, outcome responder.Outcome, err error) *responder.Failure {
-	if outcome != responder.NotRun {
-		return c.failure(http.StatusBadGateway, outcome, responder.ReasonPartBlocked, err.Error())
-	}
-	f := c.failure(http.StatusServiceUnavailable, outcome, responder.ReasonPartBlocked, err.Error())
 	blocked := &breaker.BlockedError{}
-	if errors.As(err, &blocked) {
-		f.RetryAfter = blocked.RetryAfter
+	reason := responder.ReasonPartBlocked
+	if errors.As(err, &blocked) && blocked.IsRequest() {
+		reason = responder.ReasonRequestBlocked
+	}
+	if outcome != responder.NotRun {
+		return c.failure(http.StatusBadGateway, outcome, reason, err.Error())
 	}
+	f := c.failure(http.StatusServiceUnavailable, outcome, reason, err.Error())
+	f.RetryAfter = blocked.RetryAfter
 	return f
 }
 
 // contextFailure returns the failure for a request whose context has ended, by its
-// deadline, because the caller disconnected or because a part of its prompt is blocked.
+// deadline, because the caller disconnected or because it is blocked.
 func contextFailure(ctx context.Context, c *Call, outcome responder.Outcome) *responder.Failure {
 	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
 		return blockedFailure(c, outcome, cause)
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -18,6 +18,7 @@
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
 )
@@ -196,7 +197,8 @@
 	}
 	return &Relayer{
 		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
-		Budget: func(string) *retrier.SharedBudget { return budget }, Log: slog.New(slog.DiscardHandler),
+		Breaker: &breaker.Breaker{HasEnded: func(breaker.Runner) bool { return false }},
+		Budget:  func(string) *retrier.SharedBudget { return budget }, Log: slog.New(slog.DiscardHandler),
 	}
 }
 
