Do not use runners that left while the store was away for a part of the nodes only

Cause: after an outage of its own a node keeps all runners that are missing from the list, since their entries may have lapsed. They lapse only if the runners did not reach the store either. Change: heartbeats name the age of a node's copy. Missing runners are kept only if for 1.2 s no node had read the store, as far as this node knows.

--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -102,6 +102,7 @@
 	activeRequests     atomic.Int64
 	indirectProbes     indirectProbes
 	runnerSummary      runnerSummary
+	sights             storeSights
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
@@ -191,7 +192,8 @@
 	}
 	n.runners = &follower.Follower{
 		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
-		Replace: n.replaceRunners, Update: n.updateRunners, OnOutage: n.expectReregistration,
+		Replace: n.replaceRunners, Update: n.updateRunners,
+		OnOutage: func(outage time.Duration) { n.expectReregistration(follower.Listing{Outage: outage}) },
 	}
 	for _, f := range []*follower.Follower{n.catalogs, n.runners} {
 		f.IsWatchedByPeer = func() bool { return n.isWatchedByPeer(f) }
@@ -242,7 +244,10 @@
 	go repeater.Every(ctx, stallInterval, n.balancer.CheckStalls)
 	go repeater.Every(ctx, breaker.JudgeInterval, n.breaker.Judge)
 	go repeater.Every(ctx, formInterval, func() { n.former.Step(ctx) })
-	go repeater.Every(ctx, expireInterval, n.tracker.Expire)
+	go repeater.Every(ctx, expireInterval, func() {
+		n.sights.record(n.runners.ConfirmedAt())
+		n.tracker.Expire()
+	})
 	go repeater.Every(ctx, peerSummaryInterval, n.logPeers)
 }
 
--- a/internal/node/server/objects.go
+++ b/internal/node/server/objects.go
@@ -13,7 +13,7 @@
 // store that was restored may have older entries, and none of runners that are new since.
 func (n *Node) replaceRunners(objects []follower.Object, l follower.Listing) {
 	if n.hasRunnerList.Load() && (l.Restored || l.Outage > maxTrustedOutage) {
-		n.expectReregistration(l.Outage)
+		n.expectReregistration(l)
 	}
 	list := make([]*tracker.Runner, 0, len(objects))
 	for _, o := range objects {
@@ -32,10 +32,16 @@
 }
 
 // expectReregistration keeps runners whose entries are removed now for reregisterGrace,
-// because the entries may have expired while the store was away.
-func (n *Node) expectReregistration(outage time.Duration) {
-	n.Log.Info("store was away; runners that are not listed now are kept for a while", "outage_ms", outage.Milliseconds())
-	n.reregisterUntil.Store(int64(follower.Now() + reregisterGrace))
+// because the entries may have expired while the store was away, or been lost when it was
+// restored. It does not if other nodes have read the store all the while.
+func (n *Node) expectReregistration(l follower.Listing) {
+	now := follower.Now()
+	if !l.Restored && !n.sights.wasAway(now-l.Outage, now) {
+		n.Log.Info("store was away for a part of the nodes only; runners that are not listed have left", "outage_ms", l.Outage.Milliseconds())
+		return
+	}
+	n.Log.Info("store was away; runners that are not listed now are kept for a while", "outage_ms", l.Outage.Milliseconds(), "restored", l.Restored)
+	n.reregisterUntil.Store(int64(now + reregisterGrace))
 }
 
 // removalGrace returns how long a runner whose entry is removed now stays in use.
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -171,6 +171,7 @@
 func (n *Node) fillHeartbeat(b *beater.Heartbeat, dataCenter string, limited bool) {
 	b.Leaving = n.stopping.Load()
 	b.ReachesStore = n.reachesStore()
+	b.StoreAgeMS = n.runners.Age().Milliseconds()
 	b.Era, b.CatalogVersion = n.Platform.Eras.Newest(), n.catalogVersion()
 	local := n.balancer.LocalLoad()
 	b.InFlight, b.Quiet, b.Demand = local.InFlight, local.Quiet, local.Demand
@@ -216,6 +217,7 @@
 func (n *Node) receiveHeartbeat(b *beater.Heartbeat) {
 	n.Platform.Eras.Observe(b.Era)
 	n.recordCatalogVersion(b)
+	n.sights.record(follower.Now() - time.Duration(b.StoreAgeMS)*time.Millisecond)
 	n.balancer.SetPeerLoad(b.Node, balancer.PeerReport{
 		DataCenter: b.DataCenter, Interval: b.Interval(), InFlight: b.InFlight, Quiet: b.Quiet, Demand: b.Demand, Failing: b.Failing, Limits: b.Limits,
 	})
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -72,6 +72,8 @@
 	Era int64 `cbor:"24,keyasint,omitempty"`
 	// CatalogVersion is the version of the configuration that the node uses.
 	CatalogVersion int64 `cbor:"25,keyasint,omitempty"`
+	// StoreAgeMS is the age of the node's copy of the runners' entries, in milliseconds.
+	StoreAgeMS int64 `cbor:"26,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
