Do not blame requests that were sent to a runner that had ended before

Its log: each crashed runner 'has ended under requests' again every 1.5 s, while its entry was still listed.

Cause: a node that had a request broken off by a runner asked whether the runner had ended, and counted that as an end under the request, also if the runner had ended long before it was sent. With all three runners of a small service away a sound request that is repeated had three ends and no proof in between. Ruled out: equal fingerprints (the blocked key was the sound request's own).

Change: the breaker knows the first end of each start of a runner, its own and what others report, and a request that was sent later is not evidence. A runner that starts again, under the same ID too, is another start.

--- a/internal/serving/breaker/breaker.go
+++ b/internal/serving/breaker/breaker.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,11 @@
 func (e *BlockedError) Is(target error) bool { return target == ErrBlocked }
 
 // Runner identifies a runner.
-type Runner struct{ ID, Address string }
+type Runner struct {
+	ID, Address string
+	// BootTime is when it started, in Unix milliseconds, or 0 if that is not known.
+	BootTime int64
+}
 
 // Breaker tells which requests and parts of prompts are blocked. Set HasEnded and Log before use.
 type Breaker struct {
@@ -85,6 +90,8 @@
 	blocks   map[string]*block
 	// localCrashes are the last crashes that this node itself has seen, by runner.
 	localCrashes map[string]*localCrash
+	// ends are the first known times at which runners had ended.
+	ends map[life]time.Time
 	// announced holds until when reports name a key that has proved sound.
 	announced map[string]time.Time
 	expiredAt time.Time
@@ -97,24 +104,37 @@
 	return time.Now()
 }
 
+// life is one start of a runner.
+type life struct {
+	runner   string
+	bootTime int64
+}
+
 // localCrash is the crash of a runner as this node has seen it.
 type localCrash struct {
-	at time.Time
+	at       time.Time
+	bootTime int64
+	// firstSent is when the first of its requests was sent.
+	firstSent time.Time
 	// keys are those of the requests that may have caused it, with their greatest depth.
 	keys        map[string]int
 	isConfirmed bool
 }
 
 // recordBreak records that a runner broke off a request before it was sound. Whether the
-// runner has ended is checked in the background.
-func (b *Breaker) recordBreak(r Runner, keys []string) {
+// runner has ended is checked in the background. A request that was sent to a runner that
+// had ended before is not to blame.
+func (b *Breaker) recordBreak(r Runner, sentAt time.Time, keys []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.hadEnded(life{r.ID, r.BootTime}, sentAt) {
+		return
+	}
 	now := b.now()
 	c := b.localCrashes[r.ID]
 	isNew := c == nil || now.Sub(c.at) > crashMergeTime
 	if isNew {
-		c = &localCrash{at: now, keys: map[string]int{}}
+		c = &localCrash{at: now, bootTime: r.BootTime, firstSent: sentAt, keys: map[string]int{}}
 		if b.localCrashes == nil {
 			b.localCrashes = map[string]*localCrash{}
 		}
@@ -123,6 +143,9 @@
 	for depth, p := range keys {
 		c.keys[p] = max(c.keys[p], depth)
 	}
+	if sentAt.Before(c.firstSent) {
+		c.firstSent = sentAt
+	}
 	if isNew {
 		go b.confirm(r, c)
 	} else if c.isConfirmed {
@@ -130,22 +153,50 @@
 	}
 }
 
+// hadEnded reports whether a runner is known to have ended before a time. b.mu must be
+// held.
+func (b *Breaker) hadEnded(l life, at time.Time) bool {
+	end, ok := b.ends[l]
+	return ok && l.bootTime != 0 && at.After(end)
+}
+
+// recordEnd records that a runner had ended at a time. b.mu must be held.
+func (b *Breaker) recordEnd(l life, at time.Time) {
+	if end, ok := b.ends[l]; ok && !at.Before(end) {
+		return
+	}
+	if b.ends == nil {
+		b.ends = map[life]time.Time{}
+	}
+	b.ends[l] = at
+}
+
 // confirm adds a crash to the evidence if the runner has ended. A connection may also
 // break for other reasons.
 func (b *Breaker) confirm(r Runner, c *localCrash) {
 	for range confirmTries {
 		time.Sleep(confirmDelay)
-		if !b.HasEnded(r) {
-			continue
+		if b.HasEnded(r) {
+			b.addLocalCrash(r, c)
+			return
 		}
-		b.mu.Lock()
-		c.isConfirmed = true
-		b.addCrash(r.ID, c.at, c.keys)
-		b.Log.Warn("runner has ended under requests", "runner", r.ID, "keys", names(c.keys))
-		b.mu.Unlock()
-		crashesAttributed.Inc()
+	}
+}
+
+// addLocalCrash adds a crash that this node has confirmed, unless another node has reported
+// meanwhile that the runner had ended before.
+func (b *Breaker) addLocalCrash(r Runner, c *localCrash) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := life{r.ID, r.BootTime}
+	if b.hadEnded(l, c.firstSent) {
 		return
 	}
+	c.isConfirmed = true
+	b.recordEnd(l, c.at)
+	b.addCrash(r.ID, c.at, c.keys)
+	b.Log.Warn("runner has ended under requests", "runner", r.ID, "keys", names(c.keys))
+	crashesAttributed.Inc()
 }
 
 // addCrash adds a crash to the evidence against keys that have not proved sound since.
@@ -267,6 +318,7 @@
 			delete(b.localCrashes, id)
 		}
 	}
+	maps.DeleteFunc(b.ends, func(_ life, at time.Time) bool { return now.Sub(at) > evidenceLifetime })
 	b.sound.Each(func(p string, at time.Time) bool {
 		if now.Sub(at) > soundLifetime {
 			b.sound.Delete(p)
--- a/internal/serving/breaker/breaker_test.go
+++ b/internal/serving/breaker/breaker_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -324,3 +325,45 @@
 		}
 	}
 }
+
+// TestRequestSentToEndedRunnerIsNotToBlame checks that a request is not blocked because it was
+// sent to runners that had ended before, one after the other, under another one.
+func TestRequestSentToEndedRunnerIsNotToBlame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Breaker{HasEnded: func(Runner) bool { return true }, Log: slog.New(slog.DiscardHandler)}
+		send := func(request, runner string) error {
+			c, err := b.Admit(Request{Fingerprint: func() string { return request }}, func(error) {})
+			if err != nil {
+				return err
+			}
+			defer c.Done()
+			if err := c.Start(Runner{ID: runner, BootTime: 7}); err != nil {
+				return err
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.Break()
+			return nil
+		}
+		for i := range crashesToBlock {
+			runner := fmt.Sprint("r", i)
+			if err := send("crashing", runner); err != nil {
+				t.Fatalf("crash %d: %v", i, err)
+			}
+			time.Sleep(crashMergeTime)
+			for range 2 {
+				if err := send("sound", runner); err != nil {
+					t.Fatalf("sound request: %v", err)
+				}
+				time.Sleep(crashMergeTime)
+			}
+			b.Judge()
+		}
+		if err := send("crashing", "r9"); !errors.Is(err, ErrBlocked) {
+			t.Errorf("crashing request: %v, want it blocked", err)
+		}
+		if err := send("sound", "r9"); err != nil {
+			t.Errorf("sound request: %v", err)
+		}
+		time.Sleep(confirmTries * confirmDelay)
+	})
+}
--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 // Request is what may crash runners: shared parts of a prompt, or the request itself.
@@ -27,9 +28,10 @@
 	keys func() []string
 
 	mu sync.Mutex
-	// runner is the runner of the current attempt, and events the number of events that
-	// it has sent.
+	// runner is the runner of the current attempt, sentAt when it was sent, and events the
+	// number of events that the runner has sent.
 	runner Runner
+	sentAt time.Time
 	events int
 }
 
@@ -73,7 +75,7 @@
 // *BlockedError if it is blocked meanwhile; the request must not be sent.
 func (c *Call) Start(r Runner) error {
 	c.mu.Lock()
-	c.runner, c.events = r, 0
+	c.runner, c.sentAt, c.events = r, c.breaker.now(), 0
 	c.mu.Unlock()
 	return c.breaker.checkIfAlert(c, true)
 }
@@ -96,7 +98,7 @@
 // Break records that the runner closed the connection before the end of its response.
 func (c *Call) Break() {
 	c.mu.Lock()
-	r, isSound := c.runner, c.events >= soundEvents
+	r, sentAt, isSound := c.runner, c.sentAt, c.events >= soundEvents
 	c.mu.Unlock()
 	if isSound {
 		return
@@ -108,7 +110,7 @@
 		b.mu.Unlock()
 		b.cancelCalls(failed)
 	}
-	b.recordBreak(r, c.keys())
+	b.recordBreak(r, sentAt, c.keys())
 }
 
 // MayRepeat reports whether the request may be sent to another runner after one broke it
--- a/internal/serving/breaker/report.go
+++ b/internal/serving/breaker/report.go
@@ -31,6 +31,8 @@
 	Runner string         `cbor:"1,keyasint"`
 	AgeMS  int64          `cbor:"2,keyasint"`
 	Keys   map[string]int `cbor:"3,keyasint"`
+	// BootTime is when the runner had started, in Unix milliseconds.
+	BootTime int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ReportedBlock is a block's age and its length, both in milliseconds.
@@ -72,7 +74,7 @@
 			for p, depth := range c.keys {
 				keys[p] = depth
 			}
-			r.Crashes = append(r.Crashes, ReportedCrash{Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), Keys: keys})
+			r.Crashes = append(r.Crashes, ReportedCrash{Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), Keys: keys, BootTime: c.bootTime})
 		}
 	}
 	r.SoundMS = b.soundAges(now)
@@ -116,6 +118,7 @@
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
+		b.recordEnd(life{c.Runner, c.BootTime}, ago(now, c.AgeMS))
 		b.addCrash(c.Runner, ago(now, c.AgeMS), c.Keys)
 	}
 	blocked := []*BlockedError{}
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -174,7 +174,7 @@
 		return failure
 	}
 	defer slot.Release()
-	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address}); err != nil {
+	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address, BootTime: slot.Target.BootTime}); err != nil {
 		return blockedFailure(c, responder.NotRun, err)
 	}
 	attempt, cancel := context.WithCancelCause(ctx)
--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -95,6 +95,8 @@
 	Slots      int
 	Replica    string
 	Epoch      int64
+	// BootTime is when the runner that gets the requests started, in Unix milliseconds.
+	BootTime int64
 	// Members are the IDs of all runners that the target depends on.
 	Members []string
 }
@@ -238,50 +240,6 @@
 	t.notify()
 }
 
-// deferRemoval keeps using a removed runner until the grace period ends, because its
-// removal may be due to a store outage. Only ready runners are kept. t.mu must be
-// held.
-func (t *Tracker) deferRemoval(r *Runner, grace time.Duration) {
-	t.recordGone(r)
-	if grace <= 0 || r.State != Ready {
-		delete(t.removeAt, r.ID)
-		return
-	}
-	if t.removeAt == nil {
-		t.removeAt = map[string]time.Time{}
-	}
-	until, ok := t.removeAt[r.ID]
-	if !ok {
-		until = t.now().Add(grace)
-		t.removeAt[r.ID] = until
-	}
-	t.runners[r.ID] = r
-}
-
-// Expire removes the runners whose grace period has ended before they were listed
-// again.
-func (t *Tracker) Expire() {
-	t.mu.Lock()
-	now := t.now()
-	hasExpired := false
-	for id, until := range t.removeAt {
-		if now.After(until) {
-			delete(t.removeAt, id)
-			delete(t.runners, id)
-			hasExpired = true
-		}
-	}
-	hasExpired = t.expireKept(now) || hasExpired
-	t.expireGone(now)
-	if hasExpired {
-		t.publish()
-	}
-	t.mu.Unlock()
-	if hasExpired {
-		t.notify()
-	}
-}
-
 func (t *Tracker) now() time.Time {
 	if t.Now != nil {
 		return t.Now()
@@ -306,7 +264,7 @@
 			name := r.Service + "/" + r.Membership.Replica
 			replicas[name] = append(replicas[name], r)
 		case t.isPlain(r.Service) && r.State == Ready:
-			v.add(&Target{ID: r.ID, Address: r.Address, DataCenter: r.DataCenter, Service: r.Service, Slots: r.Slots, Members: []string{r.ID}})
+			v.add(&Target{ID: r.ID, Address: r.Address, DataCenter: r.DataCenter, Service: r.Service, Slots: r.Slots, BootTime: r.BootTime, Members: []string{r.ID}})
 		}
 	}
 	completeMembers := map[replicaKey][]string{}
@@ -358,7 +316,7 @@
 	}
 	target := &Target{
 		ID: head.ID, Address: head.Address, DataCenter: head.DataCenter, Service: head.Service,
-		Model: model.Name, Slots: head.Slots, Replica: head.Membership.Replica, Epoch: head.Membership.Epoch,
+		Model: model.Name, Slots: head.Slots, Replica: head.Membership.Replica, Epoch: head.Membership.Epoch, BootTime: head.BootTime,
 	}
 	for _, r := range listed {
 		if r.Membership.Epoch != target.Epoch {
