Log what a failed request waited for, and each runner that cannot be connected

A failure now names the stage that the call had reached and the time it waited for slots, and a failed connection is a line of its own. No behaviour changes.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -143,7 +143,7 @@
 		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
 	}
 	if c != nil {
-		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(),
+		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
 			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -59,6 +59,8 @@
 	attempts int
 	// tried lists the IDs of the targets that were chosen, in order.
 	tried []string
+	// stage is what the call is waiting for, or last waited for.
+	stage Stage
 	// mayHaveRun is set once an attempt has an unknown outcome.
 	mayHaveRun bool
 	// errorResponse is the last error response of a runner. The caller gets it if no
@@ -66,6 +68,17 @@
 	errorResponse *bufferedResponse
 }
 
+// Stage is what a call waits for.
+type Stage string
+
+// The stages of an attempt, in order.
+const (
+	StageSlot       Stage = "slot"
+	StageConnection Stage = "connection"
+	StageResponse   Stage = "response"
+	StageBody       Stage = "body"
+)
+
 // Timing records where the time of a call was spent.
 type Timing struct {
 	// Placed is the time for which the call waited for slots, over all attempts.
@@ -105,6 +118,9 @@
 // targets to which no connection could be opened.
 func (c *Call) Tried() []string { return c.tried }
 
+// Stage returns what the call is waiting for, or last waited for.
+func (c *Call) Stage() Stage { return c.stage }
+
 // Inspection is the result of reading the status and header of a runner's response.
 type Inspection struct {
 	// NotRun is set if the runner reports that it did not run the request.
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -169,6 +169,7 @@
 
 // try acquires a slot and sends a call once.
 func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
+	c.stage = StageSlot
 	slot, failure := r.acquireSlot(ctx, c)
 	if failure != nil {
 		return failure
@@ -184,6 +185,7 @@
 	}
 	c.tried = append(c.tried, slot.Target.ID)
 	remaining := time.Until(c.CallerDeadline)
+	c.stage = StageConnection
 	request := &requester.Request{
 		Method: c.Method, Address: slot.Target.Address, Target: c.Target, Host: c.Host, Body: c.Body,
 		Header: r.Wire.Header(c, slot.Target, remaining, s.lastID), EchoHeader: r.Wire.Echo,
@@ -194,6 +196,7 @@
 	}
 	defer response.Close()
 	c.attempts++
+	c.stage = StageBody
 	slot.RecordProgress()
 	inspection := r.Wire.Inspect(response.Status, response.Header)
 	recordLimit(slot, inspection)
@@ -245,9 +248,11 @@
 		}
 		slot.Avoid(unreachableBackoff)
 		slot.RecordFailure()
+		r.Log.Info("runner cannot be connected", "request", c.ID, "runner", slot.Target.ID, "address", slot.Target.Address, "tried", len(c.tried), "error", err)
 		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDialFailed, err.Error())
 	}
 	c.attempts++
+	c.stage = StageResponse
 	if errors.Is(context.Cause(ctx), balancer.ErrStalled) {
 		return r.stallFailure(c, slot)
 	}
