Open connections to runners from the node's own address

Runners and whatever lies between can then tell by the address which node a connection is from; the stand-ins of the tests need it to cut the links of one node and not of another. Before, the system chose the address. No other behaviour changes.

--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -102,6 +102,8 @@
 type Client struct {
 	// DialTimeout limits the time to open a connection; 0 means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// LocalIP is the address that connections are opened from; nil means any.
+	LocalIP net.IP
 	// Dial opens connections; nil means TCP over IPv4 with DialTimeout and a timeout for
 	// unacknowledged bytes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -249,6 +251,9 @@
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return setUserTimeout(raw, unackedTimeout)
 	}}
+	if c.LocalIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: c.LocalIP}
+	}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
