Hand requests over to nodes that reach the runners

Cause: a node took its own view of the runners for the truth, and for all that it can use. Change: internal/network/observer keeps what each pair of node and runner has shown (connections, answers, probes on new connections) and judges whether the node has lost a group of runners; runners that have ended are told apart by probing others of the group. The balancer chooses no target out of reach, and a request that gets no slot while others could serve it leaves at once. internal/peer/deliverer hands it to a node that reaches those runners, once, with its age, attempts and last event; outcome and attempts come back. Without such a node it is rejected at once. Heartbeats tell which groups a node has lost and which services answer it. Planners leave domains to nodes that reach them; suspicions, failures and crashes of runners that a node has lost together with others are not reported or attributed.

--- a/internal/network/requester/pool.go
+++ b/internal/network/requester/pool.go
@@ -35,7 +35,7 @@
 			return nil
 		}
 		if time.Now().Before(c.expires) && isReusable(c) {
-			c.written = false
+			c.written, c.isNew = false, false
 			return c
 		}
 		c.abort()
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/network/observer"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// keepAliveMargin is subtracted from the server's idle timeout, so that no request
 	// is sent while the server closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
+	// missedDialTime is how long an attempt to connect that is given up must have lasted to
+	// count as failed.
+	missedDialTime = 250 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged.
 	unackedTimeout = 3 * time.Second
 	// maxResponses is the maximum number of responses that are read for one request,
@@ -104,6 +109,8 @@
 	DialTimeout time.Duration
 	// LocalIP is the address that connections are opened from; nil means any.
 	LocalIP net.IP
+	// Observer, if set, records which servers answer.
+	Observer *observer.Observer
 	// Dial opens connections; nil means TCP over IPv4 with DialTimeout and a timeout for
 	// unacknowledged bytes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -125,6 +132,8 @@
 	response *http.Response
 	conn     *conn
 	client   *Client
+	// cancelled returns the error of the request's context once that has ended.
+	cancelled func() error
 	// stop detaches the connection from the request's context, and reports false if the
 	// context has already closed it.
 	stop func() bool
@@ -145,13 +154,27 @@
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
 	}
+	cn.path.Begin()
+	response, err := c.exchange(ctx, cn, r)
+	if err != nil {
+		cn.path.End()
+		if ctx.Err() == nil {
+			cn.path.Doubt()
+		}
+		return nil, err
+	}
+	return response, nil
+}
+
+// exchange sends a request on a connection and reads the header of the response.
+func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, cn.abort)
 	written := make(chan error, 1)
 	isConcurrent := len(r.Body) >= concurrentBodyBytes
 	if isConcurrent {
 		go func() { written <- cn.write(r) }()
 	} else {
-		err = cn.write(r)
+		err := cn.write(r)
 		written <- err
 		if err != nil {
 			stop()
@@ -165,7 +188,10 @@
 		cn.abort()
 		return nil, &Error{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
 	}
-	a := &Response{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, stop: stop}
+	if cn.isNew {
+		cn.path.Open()
+	}
+	a := &Response{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, cancelled: ctx.Err, stop: stop}
 	a.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.idleTimeout = a.maxIdleTime()
 	a.mayKeep = a.idleTimeout > 0
@@ -184,6 +210,7 @@
 // connection.
 func (a *Response) Close() {
 	a.once.Do(func() {
+		a.conn.path.End()
 		isOpen := a.stop()
 		if !isOpen || !a.complete || !a.mayKeep || a.conn.reader.Buffered() > 0 {
 			a.conn.abort()
@@ -216,8 +243,11 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.answer.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.answer.complete = true
+	case err != nil && b.answer.cancelled() == nil:
+		b.answer.conn.path.Doubt()
 	}
 	return n, err
 }
@@ -234,13 +264,18 @@
 	if dial == nil {
 		dial = c.dialTCP
 	}
+	path := c.Observer.Path(r.Address)
+	started := time.Now()
 	nc, err := dial(ctx, r.Address)
 	if err != nil {
+		if ctx.Err() == nil || time.Since(started) >= missedDialTime {
+			path.Miss(started)
+		}
 		return nil, fmt.Errorf("open connection: %w", err)
 	}
 	connectionsOpened.Inc()
-	limit := &limitedReader{reader: nc}
-	return &conn{Conn: nc, address: r.Address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
+	limit := &limitedReader{reader: nc, path: path}
+	return &conn{Conn: nc, path: path, isNew: true, address: r.Address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -261,7 +296,10 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	path    *observer.Path
+	// isNew is set until the connection is used again.
+	isNew  bool
+	reader *bufio.Reader
 	// limit bounds what the reader takes from the connection.
 	limit *limitedReader
 	// written reports whether a byte of the current request was written.
@@ -275,6 +313,7 @@
 type limitedReader struct {
 	reader    io.Reader
 	remaining int64
+	path      *observer.Path
 }
 
 // Read implements io.Reader.
@@ -287,6 +326,9 @@
 	}
 	n, err := l.reader.Read(p)
 	l.remaining -= int64(n)
+	if n > 0 {
+		l.path.Read()
+	}
 	return n, err
 }
 
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/relayer"
 )
 
@@ -46,9 +47,16 @@
 	}
 }
 
-// serveCaller reads, admits and serves one request of a caller.
-func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+// serveCaller serves one request of a caller.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) { n.serve(w, r, nil) }
+
+// serve reads, admits and serves one request of a caller, or of another node that hands it
+// over.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
 	arrived := time.Now()
+	if d != nil {
+		arrived = arrived.Add(-d.Age)
+	}
 	n.hasReceivedRequest.Store(true)
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
@@ -60,16 +68,19 @@
 	in.Arrived = arrived
 	body, failure := n.readBody(w, r, in.ID)
 	if failure != nil {
-		n.fail(w, nil, failure)
+		n.fail(w, nil, d, failure)
 		return
 	}
 	in.Body = body
 	call, failure := n.admitter.Admit(in)
 	if failure != nil {
-		n.fail(w, nil, failure)
+		n.fail(w, nil, d, failure)
 		return
 	}
-	n.serveCall(r.Context(), w, call)
+	if d != nil {
+		call.Adopt(*d)
+	}
+	n.serveCall(r.Context(), w, call, d)
 }
 
 // readBody reads the request body up to the configured limit.
@@ -98,7 +109,7 @@
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
-func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *relayer.Call) {
+func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery) {
 	control := http.NewResponseController(w)
 	status := 0
 	a := &relayer.ResponseWriter{
@@ -111,6 +122,7 @@
 			if n.stopping.Load() {
 				header.Set("Connection", "close")
 			}
+			reply(w, d, c, nil)
 			firstByteDurations.UpdateDuration(c.Arrived)
 			w.WriteHeader(code)
 		},
@@ -126,40 +138,48 @@
 	}
 	failure := n.relayer.Serve(ctx, c, a)
 	if failure != nil {
-		n.fail(w, c, failure)
+		n.fail(w, c, d, failure)
 		return
 	}
+	from := ""
+	if d != nil {
+		from = d.Node
+	}
 	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
-		"attempts", c.Attempts(), "targets", c.Tried(), "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.FirstByte.Milliseconds(),
+		"attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "from_node", from, "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.FirstByte.Milliseconds(),
 		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds())
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
 // connection instead if a part of the response was sent or the caller has left.
-func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, f *responder.Failure) {
+func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
 		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
 	}
 	if c != nil {
-		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
+		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
 			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
 		}
 	}
+	if d != nil {
+		args = append(args, "from_node", d.Node)
+	}
 	n.Log.Warn("request failed", args...)
 	if f.Started || f.Reason == responder.ReasonCallerGone {
 		panic(http.ErrAbortHandler)
 	}
+	reply(w, d, c, f)
 	n.Platform.WriteFailure(w, f)
 }
 
 // stop stops the node gracefully. The node reports that it is not ready, removes its
 // entry from the store, accepts requests until the load balancer no longer sends new
 // ones, and finishes the requests in progress before the grace period ends.
-func (n *Node) stop(callers *http.Server) {
+func (n *Node) stop(callers, deliveries *http.Server) {
 	started := time.Now()
 	n.stopping.Store(true)
 	n.Log.Info("node stopping", "requests", n.activeRequests.Load())
@@ -171,5 +191,9 @@
 		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "error", err)
 		_ = callers.Close()
 	}
+	if err := deliveries.Shutdown(ctx); err != nil {
+		n.Log.Warn("grace period is ending, aborting requests of other nodes", "requests", n.activeRequests.Load(), "error", err)
+		_ = deliveries.Close()
+	}
 	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
 }
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -16,8 +16,10 @@
 	"github.com/go-chi/chi/v5"
 
 	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/network/observer"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/announcer"
@@ -93,8 +95,15 @@
 	announcer *announcer.Announcer
 	catalogs  *follower.Follower
 	runners   *follower.Follower
+	observer  *observer.Observer
+	deliverer *deliverer.Deliverer
 	budgets   sharder.Map[string, *retrier.SharedBudget]
 
+	// unreached are the runners that were out of reach at the last check, and
+	// unreachedGroups the names of the groups. Only watchReach uses them.
+	unreached       map[string]bool
+	unreachedGroups []string
+
 	startedAt          time.Time
 	hasReceivedRequest atomic.Bool
 	stopping           atomic.Bool
@@ -134,12 +143,17 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	n.startBackground(work, failed)
 	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	callerServer := n.callerServer()
+	deliveryListener, err := n.listen(n.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	callerServer, deliveryServer := n.callerServer(), n.deliveryServer()
 	go serve(readyServer, readyListener, failed)
 	go serve(callerServer, callerListener, failed)
+	go serve(deliveryServer, deliveryListener, failed)
 	if n.Settings.MetricsAddress != "" {
 		if l, err := n.listen(n.Settings.MetricsAddress); err != nil {
 			n.Log.Warn("cannot listen on metrics address, running without metrics", "error", err)
@@ -152,7 +166,7 @@
 	case err := <-failed:
 		return fmt.Errorf("run the node: %w", err)
 	}
-	n.stop(callerServer)
+	n.stop(callerServer, deliveryServer)
 	return nil
 }
 
@@ -176,15 +190,21 @@
 	if n.Client == nil {
 		n.Client = &requester.Client{}
 	}
+	if n.Client.Observer == nil {
+		n.Client.Observer = &observer.Observer{}
+	}
+	n.observer = n.Client.Observer
+	n.deliverer = &deliverer.Deliverer{Self: s.Name, Peers: n.deliveryPeers, Client: &requester.Client{LocalIP: n.Client.LocalIP}}
 	n.suspects = map[string]time.Time{}
 	n.tracker = &tracker.Tracker{}
 	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Self: s.Name, Suspected: n.recordSuspect}
 	n.balancer.IsConnected = func(t balancer.Target) bool { return n.Client.HasIdle(t.Address) }
 	n.balancer.Limited = n.logLimit
+	n.balancer.Reach = n.reach
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Wire: p.Wire, Budget: n.budget, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
@@ -242,6 +262,7 @@
 		}
 	}()
 	go repeater.Every(ctx, stallInterval, n.balancer.CheckStalls)
+	go n.watchReachUntil(ctx)
 	go repeater.Every(ctx, breaker.JudgeInterval, n.breaker.Judge)
 	go repeater.Every(ctx, formInterval, func() { n.former.Step(ctx) })
 	go repeater.Every(ctx, expireInterval, func() {
@@ -281,9 +302,10 @@
 	return n.probeResult(id, address) == former.Reachable
 }
 
-// hasEnded reports whether a runner accepts no connections any more.
+// hasEnded reports whether a runner accepts no connections any more. One that this node has
+// lost together with others may serve on.
 func (n *Node) hasEnded(r breaker.Runner) bool {
-	return n.probeResult(r.ID, r.Address) == former.Refused
+	return !n.observer.IsGroupLost(r.Address) && n.probeResult(r.ID, r.Address) == former.Refused
 }
 
 func (n *Node) probeResult(id, address string) former.ProbeResult {
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"marjorammoor/internal/network/observer"
 	"marjorammoor/internal/peer/beater"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/state/ranker"
@@ -49,6 +50,8 @@
 	byDataCenter map[string][]string
 	// all are the nodes of all data centres.
 	all []string
+	// unreached are the groups of runners that a node has lost its links to, by node.
+	unreached map[string][]observer.Group
 }
 
 // nodesWithStore returns the nodes that reach the store and are not stopping. This
@@ -57,17 +60,18 @@
 	if m := n.storeNodes.Load(); m != nil && time.Since(m.builtAt) < storeNodesLifetime {
 		return m
 	}
-	m := &storeNodes{builtAt: time.Now(), byDataCenter: map[string][]string{}}
-	add := func(name, dataCenter string) {
+	m := &storeNodes{builtAt: time.Now(), byDataCenter: map[string][]string{}, unreached: map[string][]observer.Group{}}
+	add := func(name, dataCenter string, unreached []observer.Group) {
 		m.byDataCenter[dataCenter] = append(m.byDataCenter[dataCenter], name)
 		m.all = append(m.all, name)
+		m.unreached[name] = unreached
 	}
 	if n.reachesStore() && !n.stopping.Load() {
-		add(n.Settings.Name, n.Settings.DataCenter)
+		add(n.Settings.Name, n.Settings.DataCenter, n.observer.Groups())
 	}
 	for _, p := range n.beater.Live() {
 		if p.ReachesStore && !p.Leaving {
-			add(p.Node, p.DataCenter)
+			add(p.Node, p.DataCenter, p.Unreached)
 		}
 	}
 	n.storeNodes.Store(m)
@@ -76,17 +80,20 @@
 
 // owns reports whether this node manages a domain, which needs access to the store.
 // Nodes of the domain's data centre are preferred, because they still reach its
-// runners when the data centre is cut off from the others.
+// runners when the data centre is cut off from the others. Nodes that have lost their links to
+// its runners manage it only if all have.
 func (n *Node) owns(domain, dataCenter string) bool {
 	if n.stopping.Load() || !n.reachesStore() || time.Since(n.startedAt) < peerDiscoveryTime {
 		return false
 	}
 	m := n.nodesWithStore()
-	names := m.byDataCenter[dataCenter]
-	if len(names) == 0 {
-		names = m.all
+	for _, names := range [][]string{m.byDataCenter[dataCenter], m.all} {
+		reaching := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !n.reachesDataCenter(m.unreached[name], dataCenter) })
+		if len(reaching) > 0 {
+			return ranker.First(domain, reaching) == n.Settings.Name
+		}
 	}
-	return ranker.First(domain, names) == n.Settings.Name
+	return ranker.First(domain, m.all) == n.Settings.Name
 }
 
 // createsAssignments reports whether this node creates the assignments of new
@@ -175,11 +182,13 @@
 	b.Era, b.CatalogVersion = n.Platform.Eras.Newest(), n.catalogVersion()
 	local := n.balancer.LocalLoad()
 	b.InFlight, b.Quiet, b.Demand = local.InFlight, local.Quiet, local.Demand
-	b.Suspects, b.Failing, b.Limits = local.Suspects, local.Failing, local.Limits
+	b.Suspects, b.Failing, b.Limits = slices.DeleteFunc(local.Suspects, n.isCutOff), slices.DeleteFunc(local.Failing, n.isCutOff), local.Limits
+	b.Unreached, b.Answering = n.observer.Groups(), n.observer.Answering()
 	if limited {
 		n.limitInFlight(b, dataCenter)
 	}
 	b.Unreachable = n.former.Unreachable()
+	maps.DeleteFunc(b.Unreachable, func(id, _ string) bool { return n.isCutOff(id) })
 	b.Reachable = n.indirectProbes.answered()
 	b.Loads = n.former.PendingLoads()
 	b.Breaker = n.breaker.Report()
--- /dev/null
+++ b/internal/node/server/reach.go
@@ -0,0 +1,211 @@
+package server
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/network/observer"
+	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/balancer"
+)
+
+// A node may lose its own links to runners while callers, the store and the other nodes
+// still reach it. What it then sees of the runners says nothing about them: it hands
+// requests over to nodes that reach them, leaves their domains to others, and reports no
+// runner that it lost together with others.
+
+const (
+	// reachInterval is the time between two checks of which runners are in reach.
+	reachInterval = 100 * time.Millisecond
+	// doubtDelay is the time from a failed connection to a check, so that several that fail
+	// together are judged together.
+	doubtDelay = 10 * time.Millisecond
+	// reachProbeTimeout bounds a probe on a new connection.
+	reachProbeTimeout = 350 * time.Millisecond
+	// maxPeerReachAge is the greatest age of a heartbeat that shows what its node reaches,
+	// beyond the interval between two.
+	maxPeerReachAge = 400 * time.Millisecond
+)
+
+// reachTarget is a runner that gets requests.
+type reachTarget = observer.Target
+
+// watchReachUntil calls watchReach at an interval, and soon after a connection has failed,
+// until ctx ends.
+func (n *Node) watchReachUntil(ctx context.Context) {
+	doubts := make(chan struct{}, 1)
+	n.observer.Doubted = func() {
+		select {
+		case doubts <- struct{}{}:
+		default:
+		}
+	}
+	t := time.NewTicker(reachInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-doubts:
+			time.Sleep(doubtDelay)
+		case <-t.C:
+		}
+		n.watchReach()
+	}
+}
+
+// watchReach checks which runners this node reaches, and probes some.
+func (n *Node) watchReach() {
+	all := n.tracker.View().All()
+	targets := make([]reachTarget, 0, len(all))
+	for _, t := range all {
+		targets = append(targets, reachTarget{ID: t.ID, Address: t.Address, Service: t.Service, DataCenter: t.DataCenter})
+	}
+	for _, t := range n.observer.Step(targets) {
+		go n.probeReach(t)
+	}
+	n.applyReach(targets)
+}
+
+// probeReach probes a runner on a new connection.
+func (n *Node) probeReach(t reachTarget) {
+	started := time.Now()
+	ctx, stop := context.WithTimeout(context.Background(), reachProbeTimeout)
+	defer stop()
+	n.observer.RecordProbe(t.Address, started, n.Platform.ProbeAnew(ctx, former.Member{ID: t.ID, Address: t.Address}))
+}
+
+// applyReach closes connections to runners that are newly out of reach, since they are
+// silent or broken, and has requests leave them.
+func (n *Node) applyReach(targets []reachTarget) {
+	unreached := map[string]bool{}
+	for _, t := range targets {
+		if n.observer.State(t.Address) != observer.Lost {
+			continue
+		}
+		unreached[t.ID] = true
+		if !n.unreached[t.ID] {
+			n.Client.CloseIdle(t.Address)
+		}
+	}
+	n.logReach(unreached, len(targets))
+	n.unreached = unreached
+	if len(unreached) > 0 || len(n.observer.Groups()) > 0 {
+		n.balancer.LeaveLost(func(t balancer.Target) bool { return unreached[t.ID] })
+	}
+	n.balancer.Dispatch()
+}
+
+// logReach logs when groups of runners come out of reach or back, and single runners.
+func (n *Node) logReach(unreached map[string]bool, targets int) {
+	groups := n.observer.Groups()
+	names := make([]string, 0, len(groups))
+	for _, g := range groups {
+		names = append(names, g.Service+"/"+g.DataCenter)
+	}
+	slices.Sort(names)
+	if slices.Equal(names, n.unreachedGroups) && maps.Equal(unreached, n.unreached) {
+		return
+	}
+	n.unreachedGroups = names
+	n.Log.Warn("runners in reach have changed", "out_of_reach", len(unreached), "of", targets, "groups_out_of_reach", names,
+		"newly_out", newIn(unreached, n.unreached), "newly_in", newIn(n.unreached, unreached))
+}
+
+// maxNamedRunners bounds the runners that a log line names.
+const maxNamedRunners = 8
+
+// newIn returns the first IDs that are in one set and not in the other.
+func newIn(set, other map[string]bool) []string {
+	list := []string{}
+	for _, id := range slices.Sorted(maps.Keys(set)) {
+		if !other[id] && len(list) < maxNamedRunners {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// reach tells whether this node reaches a target, and since when it does not. One that answers
+// on open connections only is in reach while there is an idle one.
+func (n *Node) reach(t balancer.Target) (r balancer.Reach, since time.Time) {
+	state := n.observer.State(t.Address)
+	switch {
+	case state == observer.Reached, state == observer.Closed && n.Client.HasIdle(t.Address):
+		return balancer.InReach, time.Time{}
+	case n.observer.IsGroupLost(t.Address):
+		return balancer.CutOff, n.observer.FailedSince(t.Address)
+	}
+	return balancer.OutOfReach, n.observer.FailedSince(t.Address)
+}
+
+// isCutOff reports whether a runner is out of reach because this node has lost its links.
+func (n *Node) isCutOff(id string) bool {
+	r, ok := n.tracker.View().Runners[id]
+	return ok && n.observer.IsGroupLost(r.Address)
+}
+
+// reachesDataCenter reports whether a node that has lost the given groups reaches the
+// runners with models of a data centre.
+func (n *Node) reachesDataCenter(lost []observer.Group, dataCenter string) bool {
+	services := n.services()
+	return !slices.ContainsFunc(lost, func(g observer.Group) bool {
+		s, ok := services[g.Service]
+		return ok && s.Engine != nil && (g.DataCenter == dataCenter || g.DataCenter == "")
+	})
+}
+
+// deliveryPeers returns the nodes that reach runners which can serve a model and are out of
+// reach of this node, as far as their heartbeats show. Those that a runner of the service has
+// just answered go before others.
+func (n *Node) deliveryPeers(service, model string) []deliverer.Peer {
+	lost := n.unreachedDataCenters(service, model)
+	answered, others := []deliverer.Peer{}, []deliverer.Peer{}
+	for _, p := range n.beater.Live() {
+		reaches := slices.ContainsFunc(lost, func(dataCenter string) bool {
+			return !slices.Contains(p.Unreached, observer.Group{Service: service, DataCenter: dataCenter})
+		})
+		if p.Leaving || !reaches || time.Since(p.SeenAt) > p.Interval()+maxPeerReachAge {
+			continue
+		}
+		address, ok := n.beater.Address(p.Node)
+		if !ok {
+			continue
+		}
+		x := deliverer.Peer{Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Load: inFlight(&p.Heartbeat)}
+		if slices.Contains(p.Answering, service) {
+			answered = append(answered, x)
+		} else {
+			others = append(others, x)
+		}
+	}
+	if len(answered) > 0 {
+		return answered
+	}
+	return others
+}
+
+// unreachedDataCenters returns the data centres in which runners that can serve a model are
+// out of reach of this node.
+func (n *Node) unreachedDataCenters(service, model string) []string {
+	list := []string{}
+	for _, t := range n.tracker.View().Targets(service, model) {
+		if r, _ := n.reach(t); r != balancer.InReach && !slices.Contains(list, t.DataCenter) {
+			list = append(list, t.DataCenter)
+		}
+	}
+	return list
+}
+
+// inFlight returns the number of requests that a heartbeat reports.
+func inFlight(b *beater.Heartbeat) int {
+	sum := 0
+	for _, n := range b.InFlight {
+		sum += n
+	}
+	return sum
+}
--- a/internal/node/server/settings.go
+++ b/internal/node/server/settings.go
@@ -73,6 +73,8 @@
 	Send former.Send
 	// Probe checks whether a runner answers.
 	Probe func(ctx context.Context, m former.Member) former.ProbeResult
+	// ProbeAnew reports whether a runner's address answers on a new connection.
+	ProbeAnew func(ctx context.Context, m former.Member) bool
 	// Ask asks a runner for its report.
 	Ask func(ctx context.Context, m former.Member) (former.Report, bool)
 	// Wire builds requests to runners and reads their responses.
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -151,6 +151,29 @@
 	return list
 }
 
+// Address returns the address from which a node sends heartbeats, as ip:port.
+func (b *Beater) Address(name string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok := b.addrs[name]
+	if !ok {
+		return "", false
+	}
+	return a.String(), true
+}
+
+// HasPeerAt reports whether another node sends heartbeats from an IP address.
+func (b *Beater) HasPeerAt(ip string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, a := range b.addrs {
+		if _, ok := b.peers[name]; ok && a.IP.String() == ip {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerCount returns the number of other nodes that heartbeats are sent to, live or
 // not. A node is removed after forgetAfter without a heartbeat from it.
 func (b *Beater) PeerCount() int {
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"marjorammoor/internal/network/observer"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/store/follower"
@@ -74,6 +75,10 @@
 	CatalogVersion int64 `cbor:"25,keyasint,omitempty"`
 	// StoreAgeMS is the age of the node's copy of the runners' entries, in milliseconds.
 	StoreAgeMS int64 `cbor:"26,keyasint,omitempty"`
+	// Unreached are the groups of runners that the node has lost its links to.
+	Unreached []observer.Group `cbor:"27,keyasint,omitempty"`
+	// Answering are the services of which a runner has just answered the node.
+	Answering []string `cbor:"28,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
--- /dev/null
+++ b/internal/peer/deliverer/deliverer.go
@@ -0,0 +1,130 @@
+package deliverer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/network/requester"
+)
+
+const (
+	// avoidTime is how long a node gets no requests after one could not be handed over to it.
+	avoidTime = time.Second
+	// remoteFactor is how much the load of a node of another data centre counts.
+	remoteFactor = 2
+)
+
+var requestsDelivered = metrics.NewCounter(`marjorammoor_requests_delivered_total`)
+
+// Peer is a node that may take a request over.
+type Peer struct {
+	Name string
+	// Address is where it takes requests from other nodes, as ip:port.
+	Address string
+	// IsRemote is set if the node is in another data centre.
+	IsRemote bool
+	// Load is the number of requests that it has in flight, as it last reported.
+	Load int
+}
+
+// Deliverer hands requests over to other nodes. Set Self, Peers and Client before use.
+type Deliverer struct {
+	// Self is the name of this node.
+	Self string
+	// Peers returns the nodes that reach runners which can serve a model.
+	Peers  func(service, model string) []Peer
+	Client *requester.Client
+
+	mu sync.Mutex
+	// delivered is the number of requests that are handed over now, by node.
+	delivered map[string]int
+	// avoidedUntil is until when a node gets no requests.
+	avoidedUntil map[string]time.Time
+}
+
+// HasPeer reports whether another node can take a request for a model of a service.
+func (d *Deliverer) HasPeer(service, model string) bool {
+	_, ok := d.Choose(service, model, nil)
+	return ok
+}
+
+// Choose returns the node that takes a request for a model of a service over: of two drawn at random,
+// the one with less load. Those tried before are left out.
+func (d *Deliverer) Choose(service, model string, tried []string) (Peer, bool) {
+	if d == nil {
+		return Peer{}, false
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := slices.DeleteFunc(d.Peers(service, model), func(p Peer) bool {
+		return now.Before(d.avoidedUntil[p.Name]) || slices.Contains(tried, p.Name)
+	})
+	if len(list) == 0 {
+		return Peer{}, false
+	}
+	x, y := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
+	if d.load(y) < d.load(x) {
+		return y, true
+	}
+	return x, true
+}
+
+// load returns the load of a node for the choice. d.mu must be held.
+func (d *Deliverer) load(p Peer) int {
+	n := p.Load + d.delivered[p.Name] + 1
+	if p.IsRemote {
+		n *= remoteFactor
+	}
+	return n
+}
+
+// Send hands a request over. The error is as from requester.Client.Do: it tells whether the
+// node may have got the request. The response must be closed.
+func (d *Deliverer) Send(ctx context.Context, p Peer, r *requester.Request, about Delivery) (*requester.Response, error) {
+	about.Node = d.Self
+	r.Address = p.Address
+	about.setHeader(r.Header)
+	requestsDelivered.Inc()
+	response, err := d.Client.Do(ctx, r)
+	if err != nil && ctx.Err() == nil {
+		d.avoid(p)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("hand over to %s: %w", p.Name, err)
+	}
+	return response, nil
+}
+
+// Begin records that a request is handed over to a node, until the returned function is
+// called.
+func (d *Deliverer) Begin(p Peer) (end func()) {
+	d.add(p, 1)
+	return func() { d.add(p, -1) }
+}
+
+func (d *Deliverer) add(p Peer, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.delivered == nil {
+		d.delivered = map[string]int{}
+	}
+	if d.delivered[p.Name] += n; d.delivered[p.Name] == 0 {
+		delete(d.delivered, p.Name)
+	}
+}
+
+func (d *Deliverer) avoid(p Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.avoidedUntil == nil {
+		d.avoidedUntil = map[string]time.Time{}
+	}
+	d.avoidedUntil[p.Name] = time.Now().Add(avoidTime)
+}
--- a/internal/serving/balancer/balancer.go
+++ b/internal/serving/balancer/balancer.go
@@ -14,6 +14,9 @@
 var (
 	// ErrNoTarget reports that no target currently serves the service or model.
 	ErrNoTarget = errors.New("no target serves the model")
+	// ErrUnreachable reports that targets which may serve the request are out of reach of
+	// this node, and that the others are full.
+	ErrUnreachable = errors.New("targets are out of reach of this node")
 	// ErrFull reports that all targets are full and no slot became free in time.
 	ErrFull = errors.New("all targets are full")
 )
@@ -41,6 +44,9 @@
 	WaitUntil time.Time
 	// Tried lists the IDs of targets that must not be chosen again.
 	Tried []string
+	// MayLeave, if set, reports whether another node can serve the request when targets are
+	// out of reach of this one.
+	MayLeave func() bool
 }
 
 // isLate reports whether a slot comes too late for the request's objective.
@@ -66,6 +72,8 @@
 	Nodes func(dataCenter string) []string
 	// IsConnected, if set, reports whether this node has an idle connection to a target.
 	IsConnected func(t Target) bool
+	// Reach, if set, tells whether this node reaches a target, and since when it does not.
+	Reach func(t Target) (r Reach, since time.Time)
 	// Suspected, if set, is called for each target that this node newly suspects,
 	// with the time for which the target made no progress.
 	Suspected func(t Target, idle time.Duration)
--- a/internal/serving/balancer/choice.go
+++ b/internal/serving/balancer/choice.go
@@ -113,7 +113,7 @@
 		if r.Model != "" && !isBursting && !q.isContended(now) {
 			free += q.holds.backlog(t.Slots, reportInterval(q.reportInterval))
 		}
-		isAvoided := now.Before(l.suspectedUntil) || now.Before(l.avoidedUntil) || !b.isWithinLimit(t, l, now)
+		isAvoided := !b.isInReach(t) || now.Before(l.suspectedUntil) || now.Before(l.avoidedUntil) || !b.isWithinLimit(t, l, now)
 		failureRate := l.failures(now)
 		l.mu.Unlock()
 		factor := 1.0
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -93,7 +93,8 @@
 // this node knows. l.mu must be held.
 func (l *targetLoad) newestProgress() time.Time { return latest(l.lastProgress, l.peerProgress) }
 
-// Slot is the right of one request to be in flight at a target.
+// Slot is the right of one request to be in flight at a target. A nil Slot is that of a
+// request which another node has in flight; it records nothing.
 type Slot struct {
 	Target Target
 
@@ -123,6 +124,9 @@
 
 // RecordProgress records that the target has sent something for the request.
 func (s *Slot) RecordProgress() {
+	if s == nil {
+		return
+	}
 	now := time.Now()
 	s.load.mu.Lock()
 	s.load.lastProgress = now
@@ -137,6 +141,9 @@
 func (s *Slot) RecordFailure() { s.recordOutcome(1) }
 
 func (s *Slot) recordOutcome(v float64) {
+	if s == nil {
+		return
+	}
 	now := time.Now()
 	s.load.mu.Lock()
 	s.load.failureRate = s.load.ownFailures(now)*failureDecay + v*(1-failureDecay)
--- a/internal/serving/balancer/queue.go
+++ b/internal/serving/balancer/queue.go
@@ -56,19 +56,26 @@
 	// evicted is closed when the request is removed from a full queue in favor of
 	// another one.
 	evicted chan struct{}
+	// cause is why, if the queue is not full.
+	cause error
 }
 
 func (q *queue) acquire(ctx context.Context, b *Balancer, r *Request) (*Slot, error) {
 	now := time.Now()
 	q.rates.record(r.Team, now)
 	q.mu.Lock()
-	q.arrivals.record(now)
 	if !q.hasPreceding(r) {
 		if s := b.tryAcquire(q, r); s != nil {
+			q.arrivals.record(now)
 			q.mu.Unlock()
 			return s, nil
 		}
 	}
+	if b.mustLeave(r) {
+		q.mu.Unlock()
+		return nil, ErrUnreachable
+	}
+	q.arrivals.record(now)
 	if len(q.waiting) >= maxWaiting && !q.evict(r) {
 		err := q.fullError(now)
 		q.mu.Unlock()
@@ -144,6 +151,9 @@
 	case s := <-w.ready:
 		return s, nil
 	case <-w.evicted:
+		if w.cause != nil {
+			return nil, w.cause
+		}
 		return nil, q.lockedFullError()
 	case <-t.C:
 	case <-ctx.Done():
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/tracker"
@@ -59,6 +60,10 @@
 	attempts int
 	// tried lists the IDs of the targets that were chosen, in order.
 	tried []string
+	// isDelivered is set if another node has handed the call over, and triedPeers lists the
+	// nodes that this one has handed it over to.
+	isDelivered bool
+	triedPeers  []string
 	// stage is what the call is waiting for, or last waited for.
 	stage Stage
 	// mayHaveRun is set once an attempt has an unknown outcome.
@@ -77,6 +82,7 @@
 	StageConnection Stage = "connection"
 	StageResponse   Stage = "response"
 	StageBody       Stage = "body"
+	StagePeer       Stage = "peer"
 )
 
 // Timing records where the time of a call was spent.
@@ -111,6 +117,16 @@
 	body   []byte
 }
 
+// recordBreak records that the runner of a slot broke off the call. Without a slot, another
+// node records it.
+func (c *Call) recordBreak(slot *balancer.Slot) {
+	if slot == nil {
+		return
+	}
+	slot.RecordFailure()
+	c.guard.Break()
+}
+
 // Attempts returns the number of times that the call may have reached a runner.
 func (c *Call) Attempts() int { return c.attempts }
 
@@ -121,6 +137,9 @@
 // Stage returns what the call is waiting for, or last waited for.
 func (c *Call) Stage() Stage { return c.stage }
 
+// TriedPeers returns the names of the nodes that the call was handed over to, in order.
+func (c *Call) TriedPeers() []string { return c.triedPeers }
+
 // Inspection is the result of reading the status and header of a runner's response.
 type Inspection struct {
 	// NotRun is set if the runner reports that it did not run the request.
@@ -150,9 +169,9 @@
 	Echo string
 	// Inspect reads the status and header of a response.
 	Inspect func(status int, h http.Header) Inspection
-	// ResponseHeader returns the part of a runner's response header that is passed on
-	// to the caller.
-	ResponseHeader func(h http.Header) http.Header
+	// EndToEnd returns the part of a header that is passed on: all but what concerns a
+	// single connection.
+	EndToEnd func(h http.Header) http.Header
 }
 
 // ResponseWriter writes the response to the caller.
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,10 +15,12 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -49,6 +52,8 @@
 	Balancer *balancer.Balancer
 	Client   *requester.Client
 	Wire     *Wire
+	// Peers hands requests over to other nodes; nil means that there are none.
+	Peers *deliverer.Deliverer
 	// Breaker tells which requests must not be sent.
 	Breaker *breaker.Breaker
 	// Budget returns the retry budget of a service.
@@ -72,7 +77,9 @@
 	defer guard.Done()
 	c.guard = guard
 	budget := r.Budget(c.Service)
-	budget.Earn()
+	if !c.isDelivered {
+		budget.Earn()
+	}
 	s := &stream{lastID: c.LastEvent}
 	for {
 		failure := r.try(ctx, c, a, s)
@@ -83,6 +90,7 @@
 			c.mayHaveRun = true
 		}
 		if r.shouldRetry(ctx, c, s, failure, budget) {
+			waitBeforeRetry(ctx, failure)
 			continue
 		}
 		if c.errorResponse != nil && !s.started {
@@ -148,6 +156,18 @@
 	return true
 }
 
+// waitBeforeRetry waits for a short time after a connection broke. Connections to other
+// runners may be breaking too, and by then this node knows whether it reaches them.
+func waitBeforeRetry(ctx context.Context, f *responder.Failure) {
+	if f.Reason != responder.ReasonConnectionBroken && f.Reason != responder.ReasonStreamBroken {
+		return
+	}
+	repeater.Sleep(ctx, minRetryDelay+rand.N(minRetryDelay))
+}
+
+// minRetryDelay is the least time between a broken connection and the retry.
+const minRetryDelay = 25 * time.Millisecond
+
 // maxDials bounds retries after failed connections: a request is sent to another
 // target as long as it has tried no more than maxDials targets.
 const maxDials = 4
@@ -160,7 +180,7 @@
 // was available, the deadline has passed or the caller has disconnected.
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonNoReplica, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
+	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
 		responder.ReasonPartBlocked, responder.ReasonRequestBlocked:
 		return false
 	}
@@ -170,9 +190,12 @@
 // try acquires a slot and sends a call once.
 func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
 	c.stage = StageSlot
-	slot, failure := r.acquireSlot(ctx, c)
-	if failure != nil {
-		return failure
+	slot, err := r.acquireSlot(ctx, c)
+	switch {
+	case errors.Is(err, balancer.ErrUnreachable):
+		return r.handOver(ctx, c, a, s)
+	case err != nil:
+		return slotFailure(ctx, c, err)
 	}
 	defer slot.Release()
 	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address, BootTime: slot.Target.BootTime}); err != nil {
@@ -243,7 +266,7 @@
 // depends on whether any byte of the request may have reached the runner.
 func (r *Relayer) sendFailure(ctx context.Context, c *Call, slot *balancer.Slot, err error) *responder.Failure {
 	if !requester.MaySent(err) {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), balancer.ErrStalled) {
 			return contextFailure(ctx, c, responder.NotRun)
 		}
 		slot.Avoid(unreachableBackoff)
@@ -259,8 +282,7 @@
 	if ctx.Err() != nil {
 		return contextFailure(ctx, c, responder.Unknown)
 	}
-	slot.RecordFailure()
-	c.guard.Break()
+	c.recordBreak(slot)
 	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 }
 
@@ -281,8 +303,7 @@
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), balancer.ErrStalled) {
 			return contextFailure(ctx, c, responder.Unknown)
 		}
-		slot.RecordFailure()
-		c.guard.Break()
+		c.recordBreak(slot)
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
 	c.guard.Complete()
@@ -302,7 +323,7 @@
 
 // writeResponse writes a buffered response to the caller.
 func (r *Relayer) writeResponse(c *Call, a *ResponseWriter, w *bufferedResponse) {
-	header := r.Wire.ResponseHeader(w.header)
+	header := r.Wire.EndToEnd(w.header)
 	if w.status != http.StatusNoContent && w.status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(len(w.body)))
 	}
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -168,7 +168,7 @@
 				NotRun: h.Get("Not-Run") != "", Misdirected: status == 421, Verified: h.Get("Signed") != "", Encoded: h.Get("Content-Encoding") != "",
 			}
 		},
-		ResponseHeader: func(h http.Header) http.Header { return h.Clone() },
+		EndToEnd: func(h http.Header) http.Header { return h.Clone() },
 	}
 }
 
--- a/internal/serving/relayer/slot.go
+++ b/internal/serving/relayer/slot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -24,11 +25,11 @@
 )
 
 // acquireSlot acquires a slot at a target, waiting for it if necessary.
-func (r *Relayer) acquireSlot(ctx context.Context, c *Call) (*balancer.Slot, *responder.Failure) {
+func (r *Relayer) acquireSlot(ctx context.Context, c *Call) (*balancer.Slot, error) {
 	now := time.Now()
 	remaining := c.Deadline.Sub(now)
 	if remaining < minRemaining {
-		return nil, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDeadline, "no time is left")
+		return nil, errNoTime
 	}
 	model, _ := c.Engine.Model(c.Model)
 	request := &balancer.Request{
@@ -36,19 +37,30 @@
 		FirstEvent: estimator.FirstEvent(c.Engine, model, c.PromptTokens),
 		Objective:  c.Arrived.Add(c.Route.TargetLatency),
 		Tried:      c.tried,
+		MayLeave:   func() bool { return !c.isDelivered && r.Peers.HasPeer(c.Service, c.Model) },
 	}
 	request.WaitUntil = c.waitUntil(now, remaining, request.FirstEvent)
 	s, err := r.Balancer.Acquire(ctx, request)
 	c.Timing.Placed += time.Since(now)
+	if err != nil {
+		return nil, fmt.Errorf("acquire a slot: %w", err)
+	}
+	return s, nil
+}
+
+var errNoTime = errors.New("no time is left")
+
+// slotFailure returns the failure for a call that gets no slot.
+func slotFailure(ctx context.Context, c *Call, err error) *responder.Failure {
 	switch {
-	case err == nil:
-		return s, nil
+	case errors.Is(err, errNoTime):
+		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDeadline, err.Error())
 	case errors.Is(err, balancer.ErrFull):
-		return nil, fullFailure(c, err)
+		return fullFailure(c, err)
 	case errors.Is(err, balancer.ErrNoTarget):
-		return nil, c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonNoReplica, err.Error())
+		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonNoReplica, err.Error())
 	default:
-		return nil, contextFailure(ctx, c, responder.NotRun)
+		return contextFailure(ctx, c, responder.NotRun)
 	}
 }
 
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -76,7 +76,7 @@
 		return
 	}
 	s.started = true
-	a.Start(response.Status, r.Wire.ResponseHeader(response.Header))
+	a.Start(response.Status, r.Wire.EndToEnd(response.Header))
 }
 
 // forwardEvents writes the complete events among the pending bytes to the caller. Only
@@ -159,7 +159,6 @@
 	case ctx.Err() != nil:
 		return contextFailure(ctx, c, responder.Unknown)
 	}
-	slot.RecordFailure()
-	c.guard.Break()
+	c.recordBreak(slot)
 	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, err.Error())
 }
