Do not take a response that names no attempt for the next request's on a kept connection

Report of another operator: a faulty runner wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that a runner had run or was running, or these ran at a second runner. Could it happen here: yes, if the refusal named no attempt. readHeader took any response without the echoed name for the request's own. Change: on a connection that has had a request before, such a response is skipped like one that names another attempt. The first response on a new connection may lack the name.

--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -75,7 +75,8 @@
 	Header http.Header
 	Body   []byte
 	// EchoHeader is the name of a header whose value the server repeats in its response.
-	// A response with another value is skipped. If empty, no value is compared.
+	// A response with another value is skipped, and one without it unless it is the first on
+	// its connection. If empty, no value is compared.
 	EchoHeader string
 	// NewConnection forbids the use of an idle connection.
 	NewConnection bool
@@ -374,6 +375,9 @@
 	if r.EchoHeader != "" {
 		want = r.Header.Get(r.EchoHeader)
 	}
+	// On a connection that has had requests before, a response that names no attempt may
+	// belong to any of them.
+	mayBeUnnamed := c.isNew
 	for range maxResponses {
 		c.limit.remaining = maxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
@@ -388,9 +392,10 @@
 		if want != "" {
 			got = response.Header.Get(r.EchoHeader)
 		}
-		if got == "" || got == want {
+		if got == want || got == "" && mayBeUnnamed {
 			return response, nil
 		}
+		mayBeUnnamed = false
 		answersSkipped.Inc()
 		if err := skipBody(response.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrOtherAttempt, err)
