Do not take a refusal that names another attempt for the request's own in the product's interface

The new case 'a refusal of another attempt is not the request's' got not_run before and gets an unknown outcome now. Refusals that name no attempt still count there: its runners need not name one, and net/http drops what comes on an idle connection.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -51,7 +51,7 @@
 		return f.transportFailure(ctx, c, t, id, connected.Load())
 	}
 	defer resp.Body.Close() //nolint:errcheck
-	if reason := resp.Header.Get(caller.HeaderNotRun); reason != "" {
+	if reason := resp.Header.Get(caller.HeaderNotRun); reason != "" && mayBeOf(id, resp) {
 		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonRefused, "refused: "+reason)
 	}
 	if failure := checkResponse(c, t, id, resp); failure != nil {
@@ -152,6 +152,12 @@
 	}()
 }
 
+// mayBeOf reports whether a response names an attempt, or none.
+func mayBeOf(id string, resp *http.Response) bool {
+	got := resp.Header.Get(caller.HeaderAttempt)
+	return got == "" || got == id
+}
+
 // checkResponse checks that a response belongs to the attempt. A plain service need
 // not return the attempt ID.
 func checkResponse(c *Call, t target, id string, resp *http.Response) *responder.Failure {
--- a/internal/gateway/forwarder/forwarder_test.go
+++ b/internal/gateway/forwarder/forwarder_test.go
@@ -58,6 +58,12 @@
 			w.Header().Set(caller.HeaderNotRun, "busy")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case "earlier refusal":
+			f.runs.Add(1)
+			w.Header().Set(caller.HeaderAttempt, "another")
+			w.Header().Set(caller.HeaderNotRun, "busy")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case "redirect":
 			f.runs.Add(1)
 			w.Header().Set("Location", "/elsewhere")
