Keep away from runners for the time that they ask for

Change: the balancer keeps what a target has asked of its callers in one place, beside its limit: pauses for this node alone, never made shorter by a later response, ended by a new start. Probes of reach and of the planner keep away too. If all targets that a request could use are paused, it is rejected at once with the shortest time left, also if it waits already.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -53,6 +53,7 @@
 	ReasonQueueFull             Reason = "queue_full"
 	ReasonQueueTimeout          Reason = "queue_timeout"
 	ReasonNoReplica             Reason = "no_replica"
+	ReasonReplicasPaused        Reason = "replicas_paused"
 	ReasonUnreachable           Reason = "runners_unreachable"
 	ReasonReplicasFull          Reason = "replicas_full"
 	ReasonDialFailed            Reason = "dial_failed"
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -233,7 +233,7 @@
 		Services:           n.services,
 		Store:              p.Store,
 		Send:               p.Send,
-		Probe:              p.Probe,
+		Probe:              n.probeMember,
 		Ask:                p.Ask,
 		Eras:               p.Eras,
 		InFlight:           n.balancer.InFlight,
@@ -311,7 +311,15 @@
 func (n *Node) probeResult(id, address string) former.ProbeResult {
 	ctx, stop := context.WithTimeout(context.Background(), indirectProbeTimeout)
 	defer stop()
-	return n.Platform.Probe(ctx, former.Member{ID: id, Address: address})
+	return n.probeMember(ctx, former.Member{ID: id, Address: address})
+}
+
+// probeMember probes a runner. One that has just asked for a pause is not probed: it lives.
+func (n *Node) probeMember(ctx context.Context, m former.Member) former.ProbeResult {
+	if n.balancer.IsPaused(m.ID) {
+		return former.Reachable
+	}
+	return n.Platform.Probe(ctx, m)
 }
 
 // triesBlocked reports whether this node is the one that tries a blocked key again when
--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -66,7 +66,9 @@
 		targets = append(targets, reachTarget{ID: t.ID, Address: t.Address, Service: t.Service, DataCenter: t.DataCenter})
 	}
 	for _, t := range n.observer.Step(targets) {
-		go n.probeReach(t)
+		if !n.balancer.IsPaused(t.ID) {
+			go n.probeReach(t)
+		}
 	}
 	n.applyReach(targets)
 }
--- a/internal/serving/balancer/choice.go
+++ b/internal/serving/balancer/choice.go
@@ -91,7 +91,7 @@
 	s := &Slot{Target: c.target, load: c.load, balancer: b, queue: q, acquiredAt: now, isRemote: isRemote, firstEvent: r.FirstEvent}
 	c.load.mu.Lock()
 	c.load.localSlots[s] = struct{}{}
-	c.load.limit.use()
+	c.load.asked.limit.use()
 	c.load.mu.Unlock()
 	return s
 }
@@ -113,7 +113,7 @@
 		if r.Model != "" && !isBursting && !q.isContended(now) {
 			free += q.holds.backlog(t.Slots, reportInterval(q.reportInterval))
 		}
-		isAvoided := !b.isInReach(t) || now.Before(l.suspectedUntil) || now.Before(l.avoidedUntil) || !b.isWithinLimit(t, l, now)
+		isAvoided := !b.isInReach(t) || now.Before(l.suspectedUntil) || now.Before(l.avoidedUntil) || now.Before(l.asked.pausedUntil) || !b.isWithinLimit(t, l, now)
 		failureRate := l.failures(now)
 		l.mu.Unlock()
 		factor := 1.0
--- a/internal/serving/balancer/limit.go
+++ b/internal/serving/balancer/limit.go
@@ -135,7 +135,7 @@
 // isWithinLimit reports whether a target's limit leaves this node a request. l.mu must be
 // held.
 func (b *Balancer) isWithinLimit(t Target, l *targetLoad, now time.Time) bool {
-	m := &l.limit
+	m := &l.asked.limit
 	if m.perSecond > 0 && now.Sub(m.sharedAt) > shareLifetime {
 		m.share, m.sharedAt = b.limitShare(t, m.perSecond), now
 	}
@@ -147,7 +147,7 @@
 func (s *Slot) RecordLimit(perSecond float64) {
 	now := time.Now()
 	s.load.mu.Lock()
-	l := &s.load.limit
+	l := &s.load.asked.limit
 	isNew := l.perSecond == 0
 	l.set(max(perSecond, minLimit), now, now)
 	l.ownAt = now
@@ -161,7 +161,7 @@
 // limit which it named before the request was sent.
 func (s *Slot) RecordNoLimit() {
 	s.load.mu.Lock()
-	l := &s.load.limit
+	l := &s.load.asked.limit
 	isLifted := l.perSecond > 0 && s.acquiredAt.After(l.namedAt)
 	if isLifted {
 		l.set(0, s.acquiredAt, time.Now())
@@ -185,8 +185,8 @@
 		l := b.load(id)
 		l.mu.Lock()
 		at := now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
-		if r.PerSecond > 0 || l.limit.perSecond > 0 {
-			l.limit.set(max(r.PerSecond, 0), at, now)
+		if r.PerSecond > 0 || l.asked.limit.perSecond > 0 {
+			l.asked.limit.set(max(r.PerSecond, 0), at, now)
 		}
 		l.mu.Unlock()
 	}
--- a/internal/serving/balancer/limit_test.go
+++ b/internal/serving/balancer/limit_test.go
@@ -145,7 +145,7 @@
 			s.RecordNoLimit()
 		}
 	}
-	if got := b.load("r").limit.perSecond; got != x.Limit {
+	if got := b.load("r").asked.limit.perSecond; got != x.Limit {
 		t.Errorf("limit %v, wanted %v", got, x.Limit)
 	}
 	reported, ok := b.LocalLoad().Limits["r"]
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -58,8 +58,8 @@
 	// outcomeAt.
 	failureRate float64
 	outcomeAt   time.Time
-	// limit is the rate of requests that the target takes from all nodes.
-	limit limit
+	// asked is what the target has asked of its callers.
+	asked asked
 	// peerFailing is the number of other nodes that report that the target fails.
 	peerFailing int
 }
--- a/internal/serving/balancer/peers.go
+++ b/internal/serving/balancer/peers.go
@@ -216,7 +216,7 @@
 		if l.ownFailures(now) > failingRate {
 			r.Failing = append(r.Failing, id)
 		}
-		if reported, ok := l.limit.report(now); ok {
+		if reported, ok := l.asked.limit.report(now); ok {
 			r.Limits[id] = reported
 		}
 		if now.Before(l.locallySuspectedUntil) {
--- a/internal/serving/balancer/queue.go
+++ b/internal/serving/balancer/queue.go
@@ -71,9 +71,9 @@
 			return s, nil
 		}
 	}
-	if b.mustLeave(r) {
+	if err := b.hopeless(r, now); err != nil {
 		q.mu.Unlock()
-		return nil, ErrUnreachable
+		return nil, err
 	}
 	q.arrivals.record(now)
 	if len(q.waiting) >= maxWaiting && !q.evict(r) {
--- a/internal/serving/balancer/reach.go
+++ b/internal/serving/balancer/reach.go
@@ -85,25 +85,5 @@
 			callback(ErrStalled)
 		}
 	}
-	b.queues.Each(func(_ queueKey, q *queue) bool {
-		q.leaveLost(b)
-		return true
-	})
-}
-
-// leaveLost removes the requests that must leave the queue.
-func (q *queue) leaveLost(b *Balancer) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	kept := q.waiting[:0]
-	for _, w := range q.waiting {
-		if b.mustLeave(w.request) {
-			w.cause = ErrUnreachable
-			close(w.evicted)
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
+	b.leaveHopeless()
 }
--- a/internal/serving/balancer/stalls.go
+++ b/internal/serving/balancer/stalls.go
@@ -84,13 +84,14 @@
 	return suspected > 1 && float64(suspected) > maxSuspectShare*float64(len(alike))
 }
 
-// ClearSuspicion resets the suspicion, back-off, failure rate and limit of a target that
+// ClearSuspicion resets the suspicion, back-off and failure rate of a target that
+// has restarted, and what it has asked before that
 // has restarted.
 func (b *Balancer) ClearSuspicion(id string) {
 	l := b.load(id)
 	l.mu.Lock()
 	l.suspectedUntil, l.locallySuspectedUntil, l.avoidedUntil, l.failureRate = time.Time{}, time.Time{}, time.Time{}, 0
-	l.limit = limit{}
+	l.asked = asked{}
 	l.mu.Unlock()
 }
 
@@ -121,6 +122,7 @@
 			callback(ErrStalled)
 		}
 	}
+	b.leaveHopeless()
 	b.Dispatch()
 }
 
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -154,6 +154,10 @@
 	// takes from all nodes together, which is then Limit.
 	NamesLimit bool
 	Limit      float64
+	// Leaving is set if the runner leaves, and gets no more requests.
+	Leaving bool
+	// Pause is for how long the runner wants no requests from this node.
+	Pause time.Duration
 	// Encoded is set if the body was encoded after it left the runner.
 	Encoded bool
 }
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
 	"marjorammoor/internal/timing/repeater"
 )
 
@@ -56,6 +57,8 @@
 	Peers *deliverer.Deliverer
 	// Breaker tells which requests must not be sent.
 	Breaker *breaker.Breaker
+	// Leaving, if set, is called for each response of a runner that says that it leaves.
+	Leaving func(t *tracker.Target)
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retrier.SharedBudget
 	Log    *slog.Logger
@@ -180,7 +183,7 @@
 // was available, the deadline has passed or the caller has disconnected.
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
+	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
 		responder.ReasonPartBlocked, responder.ReasonRequestBlocked:
 		return false
 	}
@@ -222,7 +225,7 @@
 	c.stage = StageBody
 	slot.RecordProgress()
 	inspection := r.Wire.Inspect(response.Status, response.Header)
-	recordLimit(slot, inspection)
+	r.recordAsked(slot, inspection)
 	switch {
 	case inspection.NotRun || inspection.Misdirected:
 		return r.refusalFailure(c, slot, response, inspection)
@@ -238,10 +241,19 @@
 	return r.relayBuffered(attempt, c, a, slot, response)
 }
 
-// recordLimit records the limit that a runner's response names, or that it names none.
-func recordLimit(slot *balancer.Slot, inspection Inspection) {
+// recordAsked records what a runner's response asks of its callers: that they stay away, for a
+// while or for good, or keep to a limit. A response that names no limit lifts it.
+func (r *Relayer) recordAsked(slot *balancer.Slot, inspection Inspection) {
+	if inspection.Misdirected {
+		return
+	}
+	if inspection.Leaving && r.Leaving != nil {
+		r.Leaving(slot.Target)
+	}
+	if inspection.Pause > 0 {
+		slot.Pause(inspection.Pause)
+	}
 	switch {
-	case inspection.Misdirected:
 	case inspection.NamesLimit:
 		slot.RecordLimit(inspection.Limit)
 	case inspection.Verified && !inspection.NotRun:
--- a/internal/serving/relayer/slot.go
+++ b/internal/serving/relayer/slot.go
@@ -55,6 +55,8 @@
 	switch {
 	case errors.Is(err, errNoTime):
 		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDeadline, err.Error())
+	case errors.Is(err, balancer.ErrPaused):
+		return pausedFailure(c, err)
 	case errors.Is(err, balancer.ErrFull):
 		return fullFailure(c, err)
 	case errors.Is(err, balancer.ErrNoTarget):
@@ -87,6 +89,17 @@
 	return c.Timing.lastWrite
 }
 
+// pausedFailure returns the failure for a call that no runner wants now. The caller is told
+// when the first of them does again.
+func pausedFailure(c *Call, err error) *responder.Failure {
+	f := c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonReplicasPaused, err.Error())
+	paused := &balancer.PausedError{}
+	if errors.As(err, &paused) {
+		f.RetryAfter = paused.Remaining
+	}
+	return f
+}
+
 // fullFailure returns the failure for a call that gets no slot. If the queue knows when
 // it will have one, the caller is told to come back then.
 func fullFailure(c *Call, err error) *responder.Failure {
