Stop using a runner as soon as an answer of its says that it leaves

Change: the tracker remembers the start of the runner that leaves; its entry counts as draining whatever the store's older entries say, so that routing and planners treat it as leaving. Only a new start at the same ID ends that.

--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -204,7 +204,7 @@
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
@@ -322,6 +322,13 @@
 	return n.Platform.Probe(ctx, m)
 }
 
+// recordLeaving records that a target has said in a response that it leaves.
+func (n *Node) recordLeaving(t balancer.Target) {
+	if n.tracker.Leave(t.ID, t.BootTime, true) {
+		n.Log.Info("runner says that it leaves", "runner", t.ID, "replica", t.Replica, "boot_time", t.BootTime)
+	}
+}
+
 // triesBlocked reports whether this node is the one that tries a blocked key again when
 // its block is over.
 func (n *Node) triesBlocked(key string) bool {
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -183,6 +183,7 @@
 	local := n.balancer.LocalLoad()
 	b.InFlight, b.Quiet, b.Demand = local.InFlight, local.Quiet, local.Demand
 	b.Suspects, b.Failing, b.Limits = slices.DeleteFunc(local.Suspects, n.isCutOff), slices.DeleteFunc(local.Failing, n.isCutOff), local.Limits
+	b.LeavingRunners = n.tracker.Leaving()
 	b.Unreached, b.Answering = n.observer.Groups(), n.observer.Answering()
 	if limited {
 		n.limitInFlight(b, dataCenter)
@@ -237,6 +238,9 @@
 		n.addSuspect(id)
 		n.balancer.Suspect(id)
 	}
+	for id, bootTime := range b.LeavingRunners {
+		n.tracker.Leave(id, bootTime, false)
+	}
 	n.breaker.Receive(&b.Breaker)
 	n.giveRetries(b)
 	n.balancer.Dispatch()
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -79,6 +79,9 @@
 	Unreached []observer.Group `cbor:"27,keyasint,omitempty"`
 	// Answering are the services of which a runner has just answered the node.
 	Answering []string `cbor:"28,keyasint,omitempty"`
+	// LeavingRunners are the runners that have lately told the node in a response that they
+	// leave, with the times of their starts.
+	LeavingRunners map[string]int64 `cbor:"29,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
--- a/internal/serving/tracker/expire.go
+++ b/internal/serving/tracker/expire.go
@@ -37,6 +37,7 @@
 	}
 	hasExpired = t.expireKept(now) || hasExpired
 	t.expireGone(now)
+	t.expireLeaving(now)
 	if hasExpired {
 		t.publish()
 	}
--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -168,7 +168,10 @@
 	// kept are the entries of a restored store that are not used yet, by ID.
 	kept map[string]keptEntry
 	// gone are the runners whose entries were removed, by ID.
-	gone     map[string]goneRunner
+	gone map[string]goneRunner
+	// leaving are the runners that have said in a response that they leave, by ID, with the
+	// time of their start.
+	leaving  map[string]leavingRunner
 	services map[string]*matcher.Service
 	view     atomic.Pointer[View]
 	// completeMembers holds the members of the replicas that were targets in the
@@ -258,6 +261,7 @@
 	v := &View{Runners: make(map[string]*Runner, len(t.runners)), targets: map[targetKey][]*Target{}, byID: map[string]*Target{}}
 	replicas := map[string][]*Runner{}
 	for id, r := range t.runners {
+		r = t.withLeaving(r)
 		v.Runners[id] = r
 		switch {
 		case r.HasMembership:
