Judge lost groups by samples of servers that nothing speaks against

Now only a first failure under a probe that nothing called for is a sample, three of them are needed where there are as many, groups of one server have no verdict of their own, samples are taken from the failing group and the service, and a group that is lost stays so until a third of its servers have answered.

--- a/internal/network/observer/judge.go
+++ b/internal/network/observer/judge.go
@@ -16,12 +16,27 @@
 	readAt time.Time
 	// quiet is the number of servers with requests that wait for quietTime.
 	quiet int
+	// isAskedForSilence is set if servers are probed because all of them are silent.
+	isAskedForSilence bool
 	// missing and unreached are the numbers of servers that are missing and not reached.
 	missing, unreached int
 	// closed and lost show whether the group is out of reach for new connections, and at all.
 	closed, lost evidence
 }
 
+// tallies are those of all groups.
+type tallies map[Group]*tally
+
+// anyAsked reports whether servers of a service are probed because a group of it is silent.
+func (ts tallies) anyAsked(g Group) bool {
+	for x, t := range ts {
+		if x.Service == g.Service && t.isAskedForSilence {
+			return true
+		}
+	}
+	return false
+}
+
 // evidence is what speaks for a group being out of reach, and against it.
 type evidence struct {
 	// failedSince are the times since which servers fail, and answeredAt those at which the
@@ -67,33 +82,42 @@
 
 // judge decides which groups are lost, and which are closed for new connections. o.mu must be
 // held.
-func (o *Observer) judge(tallies map[Group]*tally) {
+func (o *Observer) judge(groups tallies) {
 	lost, closed := map[Group]time.Time{}, map[Group]time.Time{}
-	for g, t := range tallies {
-		if since, ok := t.verdict(g, &t.lost); ok {
-			lost[g] = keepEarlier(o.lost, g, since)
+	for g, t := range groups {
+		if since, ok := t.verdict(g, &t.lost, o.lost[g]); ok {
+			lost[g] = since
 		}
-		if since, ok := t.verdict(g, &t.closed); ok {
-			closed[g] = keepEarlier(o.closed, g, since)
+		if since, ok := t.verdict(g, &t.closed, o.closed[g]); ok {
+			closed[g] = since
 		}
 	}
 	o.lost, o.closed = lost, closed
 }
 
-// keepEarlier returns the time since which a group is out of reach.
-func keepEarlier(before map[Group]time.Time, g Group, since time.Time) time.Time {
-	if at, ok := before[g]; ok && at.Before(since) {
-		return at
+// answeredSince returns the number of servers that have answered since a time.
+func (e *evidence) answeredSince(since time.Time) int {
+	n := 0
+	for _, at := range e.answeredAt {
+		if at.After(since) {
+			n++
+		}
 	}
-	return since
+	return n
 }
 
 // verdict reports whether a group is out of reach, and since when: whether there is a time
 // since which enough servers fail, against those that have answered since then. Failures
 // in a single part of a group, or only of servers that requests were sent to, may have their
-// cause there.
-func (t *tally) verdict(g Group, e *evidence) (since time.Time, isOut bool) {
-	least, others := min(minMisses, len(t.members)), len(t.members)-len(e.failedSince)+e.samples
+// cause there. A group that was out of reach before stays so until enough servers have answered.
+func (t *tally) verdict(g Group, e *evidence, before time.Time) (since time.Time, isOut bool) {
+	if answered := e.answeredSince(before); !before.IsZero() && len(t.members)-answered >= missesPerAnswer*answered {
+		return before, true
+	}
+	if len(t.members) < minMisses {
+		return time.Time{}, false
+	}
+	least, others := minMisses, len(t.members)-len(e.failedSince)+e.samples
 	if g.Service == "" {
 		least = minMissesOfAll
 	}
@@ -115,31 +139,33 @@
 	return since, isOut
 }
 
-// choose returns the servers to probe: some of the groups that are quiet or in which a
-// connection has failed, those that are quiet alone, and lost ones in turn. o.mu must be held.
-func (o *Observer) choose(sights []sight, tallies map[Group]*tally, v *view, now time.Time) []Target {
+// choose returns the servers to probe: those whose connections broke or that are silent, samples
+// of the groups in which servers fail or are all silent, and lost ones in turn. o.mu must be
+// held.
+func (o *Observer) choose(sights []sight, tallies tallies, v *view, now time.Time) []Target {
 	chosen := map[int]bool{}
 	for g, t := range tallies {
-		if g.Service == "" || g.DataCenter == "" {
+		if g.DataCenter == "" {
 			continue
 		}
 		isQuiet := t.quiet > 0 && now.Sub(t.readAt) >= quietTime
 		remaining := quietProbes
 		for _, i := range t.members {
 			s := &sights[i]
-			isDue := isQuiet && s.quietFor >= quietTime || s.quietFor >= quietAlone
-			pause := s.pause
-			if s.isDoubted {
-				isDue, pause = true, doubtPause
-			}
-			if isDue && v.states[s.target.Address] == Reached && now.Sub(s.probedAt) > pause && remaining > 0 {
+			if remaining > 0 && v.isReached(s) && s.isSuspect(isQuiet, now) {
 				chosen[i] = true
 				remaining--
-				s.path.askProbe(now, !s.isDoubted)
+				s.path.askProbe(now, forSilence)
 			}
 		}
+		t.isAskedForSilence = isQuiet && remaining < quietProbes
+	}
+	for g, t := range tallies {
+		parts := t.isAskedForSilence || g.DataCenter == "" && tallies.anyAsked(g)
+		if g.Service != "" && (parts || t.missing > 0 && !t.hasAnswers()) {
+			t.chooseSamples(sights, v, chosen, now)
+		}
 	}
-	o.chooseDoubted(sights, tallies, v, chosen, now)
 	o.chooseLost(sights, v, chosen, now)
 	list := []Target{}
 	for i := range chosen {
@@ -148,6 +174,16 @@
 	return list
 }
 
+// isSuspect reports whether a server is to be probed because a connection broke or requests wait
+// there in silence, in a group that is quiet or not.
+func (s *sight) isSuspect(isQuiet bool, now time.Time) bool {
+	if s.isDoubted {
+		return now.Sub(s.probedAt) > doubtPause
+	}
+	isSilent := isQuiet && s.quietFor >= quietTime || s.quietFor >= quietAlone
+	return isSilent && now.Sub(s.probedAt) > s.pause
+}
+
 // hasAnswers reports whether enough servers have answered on new connections since the last
 // server began to fail, to show that the group is in reach.
 func (t *tally) hasAnswers() bool {
@@ -161,24 +197,15 @@
 	return answered >= min(minSamples, len(t.closed.answeredAt))
 }
 
-// chooseDoubted adds servers of the services of which one has begun to fail, until enough
-// others have answered or failed since. o.mu must be held.
-func (o *Observer) chooseDoubted(sights []sight, tallies map[Group]*tally, v *view, chosen map[int]bool, now time.Time) {
-	for g, t := range tallies {
-		if g.Service == "" || g.DataCenter != "" || t.missing == 0 {
-			continue
-		}
-		if t.hasAnswers() {
-			continue
-		}
-		remaining := quietProbes
-		for _, i := range byProbe(t.members, sights) {
-			s := &sights[i]
-			if remaining > 0 && !s.isMissing && v.states[s.target.Address] == Reached && now.Sub(s.probedAt) > doubtPause && !chosen[i] {
-				chosen[i] = true
-				remaining--
-				s.path.askProbe(now, false)
-			}
+// chooseSamples adds servers of a group against which nothing speaks.
+func (t *tally) chooseSamples(sights []sight, v *view, chosen map[int]bool, now time.Time) {
+	remaining := minSamples
+	for _, i := range byProbe(t.members, sights) {
+		s := &sights[i]
+		if remaining > 0 && !s.isMissing && v.isReached(s) && !chosen[i] && now.Sub(s.probedAt) > doubtPause {
+			chosen[i] = true
+			remaining--
+			s.path.askProbe(now, forSample)
 		}
 	}
 }
@@ -190,7 +217,7 @@
 	for i := range sights {
 		s := &sights[i]
 		switch {
-		case v.states[s.target.Address] != Reached:
+		case !v.isReached(s):
 			lost = append(lost, i)
 		case !s.missStarted.IsZero() && s.openedAt.After(s.missStarted) && now.Sub(s.openedAt) < returnInterval:
 			hasReturned = true
@@ -202,7 +229,7 @@
 	o.returnedAt = now
 	for _, i := range byProbe(lost, sights)[:min(returnProbes, len(lost))] {
 		chosen[i] = true
-		sights[i].path.askProbe(now, false)
+		sights[i].path.askProbe(now, forReturn)
 	}
 }
 
--- a/internal/network/observer/observer.go
+++ b/internal/network/observer/observer.go
@@ -11,7 +11,7 @@
 
 const (
 	// missLifetime is how long a failed connection counts without a newer one.
-	missLifetime = 3 * time.Second
+	missLifetime = 5 * time.Second
 	// quietTime is how long all servers of a group may send nothing, while requests wait
 	// there, before some are probed.
 	quietTime = 300 * time.Millisecond
@@ -21,7 +21,7 @@
 	// because of silence that turned out to be none.
 	minSilencePause = 500 * time.Millisecond
 	maxSilencePause = 8 * time.Second
-	// quietProbes is the number of servers of a quiet or doubted group that are probed.
+	// quietProbes is the number of silent servers of a group that are probed at once.
 	quietProbes = 3
 	// doubtPause is the time between two probes of a server because others of its group fail.
 	doubtPause = 400 * time.Millisecond
@@ -37,7 +37,7 @@
 	minMissesOfAll  = 3
 	// minSamples is the least number of failed servers that no request was sent to. Requests
 	// find those that have ended; the others tell whether they are the exception.
-	minSamples = 2
+	minSamples = 3
 )
 
 // Target is a server that may be observed.
@@ -95,6 +95,8 @@
 	served  []string
 }
 
+func (v *view) isReached(s *sight) bool { return v.states[s.target.Address] == Reached }
+
 func (o *Observer) now() time.Time {
 	if o.Now != nil {
 		return o.Now()
@@ -176,25 +178,25 @@
 func (o *Observer) Step(targets []Target) []Target {
 	now := o.now()
 	sights := make([]sight, 0, len(targets))
-	tallies := map[Group]*tally{}
+	groups := tallies{}
 	for i := range targets {
 		s := o.Path(targets[i].Address).sight(&targets[i], now)
 		sights = append(sights, s)
 		part := Group{}
 		for _, g := range s.target.groups() {
-			if tallies[g] == nil {
-				tallies[g] = &tally{parts: map[Group]bool{}}
+			if groups[g] == nil {
+				groups[g] = &tally{parts: map[Group]bool{}}
 			}
-			tallies[g].add(len(sights)-1, &s, part)
+			groups[g].add(len(sights)-1, &s, part)
 			part = g
 		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.judge(tallies)
-	v := o.newView(sights, tallies, now)
+	o.judge(groups)
+	v := o.newView(sights, groups, now)
 	o.view.Store(v)
-	return o.choose(sights, tallies, v, now)
+	return o.choose(sights, groups, v, now)
 }
 
 // groups returns the groups that a server belongs to, the smallest first.
@@ -203,7 +205,7 @@
 }
 
 // newView returns the states of all servers.
-func (o *Observer) newView(sights []sight, tallies map[Group]*tally, now time.Time) *view {
+func (o *Observer) newView(sights []sight, groups tallies, now time.Time) *view {
 	v := &view{states: map[string]State{}, failedSince: map[string]time.Time{}, isGroup: map[string]bool{}}
 	for i := range sights {
 		s := &sights[i]
@@ -211,7 +213,7 @@
 		if state != Reached {
 			v.states[s.target.Address], v.failedSince[s.target.Address] = state, s.failedSince
 			for _, g := range s.target.groups() {
-				tallies[g].unreached++
+				groups[g].unreached++
 			}
 		}
 		if isGroup {
@@ -221,7 +223,7 @@
 			v.served = append(v.served, s.target.Service)
 		}
 	}
-	for g, t := range tallies {
+	for g, t := range groups {
 		if g.Service != "" && 2*t.unreached > len(t.members) {
 			v.groups = append(v.groups, g)
 		}
--- a/internal/network/observer/path.go
+++ b/internal/network/observer/path.go
@@ -27,6 +27,9 @@
 	// one because of silence.
 	probedAt time.Time
 	pause    time.Duration
+	// sampledAt is when the server was last probed although nothing spoke against it, or
+	// zero if it has answered since.
+	sampledAt time.Time
 	// doubtedAt is when a connection last broke.
 	doubtedAt time.Time
 }
@@ -46,7 +49,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.openedAt, p.failedSince = p.observer.now(), time.Time{}
+	p.openedAt, p.failedSince, p.sampledAt = p.observer.now(), time.Time{}, time.Time{}
 	p.mu.Unlock()
 }
 
@@ -103,7 +106,7 @@
 	path   *Path
 	// openedAt, readAt, missStarted and failedSince are as in Path.
 	openedAt, readAt, missStarted, failedSince time.Time
-	// isSample is set if the last failed connection was not one that a request needed.
+	// isSample is set if a probe of a sample was the first to fail.
 	isSample bool
 	// isMissing is set if the last connection has failed lately, and isSilent if the server
 	// has sent nothing since that one was started.
@@ -126,21 +129,37 @@
 	s.isDoubted = p.doubtedAt.After(p.probedAt)
 	s.isMissing = p.missedAt.After(p.openedAt) && now.Sub(p.missedAt) < missLifetime
 	s.isSilent = s.isMissing && s.readAt.Before(p.missStarted)
-	s.isSample = s.isMissing && !p.missStarted.Before(p.probedAt) && !p.probedAt.IsZero()
+	s.isSample = s.isMissing && !p.sampledAt.IsZero() && !p.failedSince.Before(p.sampledAt)
 	if p.waiting > 0 {
 		s.quietFor = now.Sub(latest(p.busySince, s.readAt))
 	}
 	return s
 }
 
+// probeCause is why a server is probed.
+type probeCause int
+
+const (
+	// forSilence: requests wait there and get no byte.
+	forSilence probeCause = iota
+	// forSample: servers like it fail.
+	forSample
+	// forReturn: it is out of reach.
+	forReturn
+)
+
 // askProbe records that a probe is asked for. A probe because of silence doubles the pause
 // until the next one, unless it fails.
-func (p *Path) askProbe(now time.Time, isForSilence bool) {
+func (p *Path) askProbe(now time.Time, cause probeCause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probedAt = now
-	if isForSilence {
+	switch cause {
+	case forSilence:
 		p.pause = min(max(2*p.pause, minSilencePause), maxSilencePause)
+	case forSample:
+		p.sampledAt = now
+	case forReturn:
 	}
 }
 
