--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -86,7 +86,7 @@
 		behavior = s.runs[s.sends]
 	}
 	s.sends++
-	s.last = q.Header.Get("Last")
+	s.last = q.Header.Get("Last") + q.Header.Get("X-Delivery-Last-Event")
 	s.mu.Unlock()
 	head := "HTTP/1.1 %d X\r\nId: " + q.Header.Get("Id") + "\r\nConnection: close\r\n%s\r\n"
 	switch behavior {
@@ -111,6 +111,14 @@
 		_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nTransfer-Encoding: chunked\r\n")
 		writeWithoutEnd(c)
 	case "hang_up":
+	case "not_run":
+		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: replicas_full\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 200\r\nContent-Length: 0\r\n")
+	case "unreachable":
+		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: runners_unreachable\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
+	case "unknown":
+		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
+	case "unknown_after_two":
+		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 2\r\nContent-Length: 0\r\n")
 	default:
 		if unframed, ok := strings.CutPrefix(behavior, "unframed "); ok {
 			_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nContent-Type: text/event-stream\r\n")
