--- a/internal/network/observer/observer.go
+++ b/internal/network/observer/observer.go
@@ -15,11 +15,12 @@
 	// quietTime is how long all servers of a group may send nothing, while requests wait
 	// there, before some are probed.
 	quietTime = 300 * time.Millisecond
-	// quietAlone is how long one server may, while others of its group answer.
-	quietAlone = 600 * time.Millisecond
+	// quietAlone is how long one server may, while others of its group answer. It exceeds the
+	// time of an engine pass with the longest prompts.
+	quietAlone = 800 * time.Millisecond
 	// minSilencePause and maxSilencePause bound the time between two probes of a server
 	// because of silence that turned out to be none.
-	minSilencePause = 500 * time.Millisecond
+	minSilencePause = time.Second
 	maxSilencePause = 8 * time.Second
 	// quietProbes is the number of silent servers of a group that are probed at once.
 	quietProbes = 3
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -99,6 +99,8 @@
 	deliverer *deliverer.Deliverer
 	budgets   sharder.Map[string, *retrier.SharedBudget]
 
+	// reachTargets are the targets of the last view, for watchReach only.
+	reachTargets targetList
 	// unreached are the runners that were out of reach at the last check, and
 	// unreachedGroups the names of the groups. Only watchReach uses them.
 	unreached       map[string]bool
@@ -261,8 +263,7 @@
 			failed <- err
 		}
 	}()
-	go repeater.Every(ctx, stallInterval, n.balancer.CheckStalls)
-	go n.watchReachUntil(ctx)
+	go n.watchTargets(ctx)
 	go repeater.Every(ctx, breaker.JudgeInterval, n.breaker.Judge)
 	go repeater.Every(ctx, formInterval, func() { n.former.Step(ctx) })
 	go repeater.Every(ctx, expireInterval, func() {
--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -11,6 +11,7 @@
 	"marjorammoor/internal/peer/beater"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/tracker"
 )
 
 // A node may lose its own links to runners while callers, the store and the other nodes
@@ -19,8 +20,6 @@
 // runner that it lost together with others.
 
 const (
-	// reachInterval is the time between two checks of which runners are in reach.
-	reachInterval = 100 * time.Millisecond
 	// doubtDelay is the time from a failed connection to a check, so that several that fail
 	// together are judged together.
 	doubtDelay = 10 * time.Millisecond
@@ -34,9 +33,9 @@
 // reachTarget is a runner that gets requests.
 type reachTarget = observer.Target
 
-// watchReachUntil calls watchReach at an interval, and soon after a connection has failed,
-// until ctx ends.
-func (n *Node) watchReachUntil(ctx context.Context) {
+// watchTargets checks at an interval for stalled targets and, also soon after a connection has
+// failed, which ones are in reach, until ctx ends.
+func (n *Node) watchTargets(ctx context.Context) {
 	doubts := make(chan struct{}, 1)
 	n.observer.Doubted = func() {
 		select {
@@ -44,7 +43,7 @@
 		default:
 		}
 	}
-	t := time.NewTicker(reachInterval)
+	t := time.NewTicker(stallInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -53,6 +52,7 @@
 		case <-doubts:
 			time.Sleep(doubtDelay)
 		case <-t.C:
+			n.balancer.CheckStalls()
 		}
 		n.watchReach()
 	}
@@ -60,11 +60,7 @@
 
 // watchReach checks which runners this node reaches, and probes some.
 func (n *Node) watchReach() {
-	all := n.tracker.View().All()
-	targets := make([]reachTarget, 0, len(all))
-	for _, t := range all {
-		targets = append(targets, reachTarget{ID: t.ID, Address: t.Address, Service: t.Service, DataCenter: t.DataCenter})
-	}
+	targets := n.reachTargets.of(n.tracker.View())
 	for _, t := range n.observer.Step(targets) {
 		if !n.balancer.IsPaused(t.ID) {
 			go n.probeReach(t)
@@ -73,6 +69,24 @@
 	n.applyReach(targets)
 }
 
+// targetList is the list of a view's targets for the observer. The zero value is empty.
+type targetList struct {
+	view    *tracker.View
+	targets []reachTarget
+}
+
+// of returns the targets of a view.
+func (l *targetList) of(v *tracker.View) []reachTarget {
+	if l.view == v {
+		return l.targets
+	}
+	l.view, l.targets = v, nil
+	for _, t := range v.All() {
+		l.targets = append(l.targets, reachTarget{ID: t.ID, Address: t.Address, Service: t.Service, DataCenter: t.DataCenter})
+	}
+	return l.targets
+}
+
 // probeReach probes a runner on a new connection.
 func (n *Node) probeReach(t reachTarget) {
 	started := time.Now()
@@ -95,11 +109,14 @@
 		}
 	}
 	n.logReach(unreached, len(targets))
+	hasChanged := !maps.Equal(unreached, n.unreached)
 	n.unreached = unreached
-	if len(unreached) > 0 || len(n.observer.Groups()) > 0 {
+	if len(unreached) > 0 {
 		n.balancer.LeaveLost(func(t balancer.Target) bool { return unreached[t.ID] })
 	}
-	n.balancer.Dispatch()
+	if hasChanged {
+		n.balancer.Dispatch()
+	}
 }
 
 // logReach logs when groups of runners come out of reach or back, and single runners.
