--- a/internal/network/observer/judge.go
+++ b/internal/network/observer/judge.go
@@ -142,9 +142,9 @@
 // choose returns the servers to probe: those whose connections broke or that are silent, samples
 // of the groups in which servers fail or are all silent, and lost ones in turn. o.mu must be
 // held.
-func (o *Observer) choose(sights []sight, tallies tallies, v *view, now time.Time) []Target {
+func (o *Observer) choose(sights []sight, groups tallies, v *view, now time.Time) []Target {
 	chosen := map[int]bool{}
-	for g, t := range tallies {
+	for g, t := range groups {
 		if g.DataCenter == "" {
 			continue
 		}
@@ -160,8 +160,8 @@
 		}
 		t.isAskedForSilence = isQuiet && remaining < quietProbes
 	}
-	for g, t := range tallies {
-		parts := t.isAskedForSilence || g.DataCenter == "" && tallies.anyAsked(g)
+	for g, t := range groups {
+		parts := t.isAskedForSilence || g.DataCenter == "" && groups.anyAsked(g)
 		if g.Service != "" && (parts || t.missing > 0 && !t.hasAnswers()) {
 			t.chooseSamples(sights, v, chosen, now)
 		}
--- /dev/null
+++ b/internal/network/requester/conn.go
@@ -0,0 +1,138 @@
+package requester
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"marjorammoor/internal/network/observer"
+)
+
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	address string
+	path    *observer.Path
+	// isNew is set until the connection is used again.
+	isNew  bool
+	reader *bufio.Reader
+	// limit bounds what the reader takes from the connection.
+	limit *limitedReader
+	// written reports whether a byte of the current request was written.
+	written bool
+	// expires is when the idle connection may no longer be used.
+	expires time.Time
+	closing sync.Once
+}
+
+// limitedReader fails once more than remaining bytes have been read.
+type limitedReader struct {
+	reader    io.Reader
+	remaining int64
+	path      *observer.Path
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	if int64(len(p)) > l.remaining {
+		p = p[:l.remaining]
+	}
+	n, err := l.reader.Read(p)
+	l.remaining -= int64(n)
+	if n > 0 {
+		l.path.Read()
+	}
+	return n, err
+}
+
+// abort closes the connection. It may be called more than once and from
+// another goroutine.
+func (c *conn) abort() {
+	c.closing.Do(func() { _ = c.Conn.Close() })
+}
+
+func (c *conn) write(r *Request) error {
+	b := make([]byte, 0, 512+len(r.Body))
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for k, values := range r.Header {
+		for _, v := range values {
+			b = append(b, k...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, r.Body...)
+	n, err := c.Write(b)
+	c.written = n > 0
+	return err
+}
+
+// readHeader reads responses until one is final and belongs to the request. It returns
+// the response with its body unread.
+func (c *conn) readHeader(r *Request) (*http.Response, error) {
+	request := &http.Request{Method: r.Method}
+	want := ""
+	if r.EchoHeader != "" {
+		want = r.Header.Get(r.EchoHeader)
+	}
+	// On a connection that has had requests before, a response that names no attempt may
+	// belong to any of them.
+	mayBeUnnamed := c.isNew
+	for range maxResponses {
+		c.limit.remaining = maxHeaderBytes
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		c.limit.remaining = math.MaxInt64
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		got := ""
+		if want != "" {
+			got = response.Header.Get(r.EchoHeader)
+		}
+		if got == want || got == "" && mayBeUnnamed {
+			return response, nil
+		}
+		mayBeUnnamed = false
+		answersSkipped.Inc()
+		if err := skipBody(response.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrOtherAttempt, err)
+		}
+	}
+	return nil, ErrOtherAttempt
+}
+
+// skipBody reads a body that nobody needs to its end.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, MaxSkippedBytes))
+	if err != nil {
+		return fmt.Errorf("skip body: %w", err)
+	}
+	if n == MaxSkippedBytes {
+		return errBodyTooLarge
+	}
+	return nil
+}
