Set the observer's callback before any connection is opened

Found on reading the diff: watchTargets set it in its goroutine, while requests and orders may already fail on other ones. The node now creates its observer with the callback in place; nothing else changes.

--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -96,6 +96,8 @@
 	deliverer *deliverer.Deliverer
 	budgets   sharder.Map[string, *retrier.SharedBudget]
 
+	// doubts wakes watchTargets.
+	doubts chan struct{}
 	// reachTargets are the targets of the last view, for watchReach only.
 	reachTargets targetList
 	// unreached are the runners that were out of reach at the last check, and
@@ -189,10 +191,8 @@
 	if n.Client == nil {
 		n.Client = &requester.Client{}
 	}
-	if n.Client.Observer == nil {
-		n.Client.Observer = &observer.Observer{}
-	}
-	n.observer = n.Client.Observer
+	n.observer = n.newObserver()
+	n.Client.Observer = n.observer
 	n.deliverer = &deliverer.Deliverer{Self: s.Name, Peers: n.deliveryPeers, Client: &requester.Client{LocalIP: n.Client.LocalIP}}
 	n.suspects = map[string]time.Time{}
 	n.tracker = &tracker.Tracker{}
--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -36,20 +36,13 @@
 // watchTargets checks at an interval for stalled targets and, also soon after a connection has
 // failed, which ones are in reach, until ctx ends.
 func (n *Node) watchTargets(ctx context.Context) {
-	doubts := make(chan struct{}, 1)
-	n.observer.Doubted = func() {
-		select {
-		case doubts <- struct{}{}:
-		default:
-		}
-	}
 	t := time.NewTicker(stallInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-doubts:
+		case <-n.doubts:
 			time.Sleep(doubtDelay)
 		case <-t.C:
 			n.balancer.CheckStalls()
@@ -58,6 +51,18 @@
 	}
 }
 
+// newObserver returns an observer that has watchTargets check soon after a connection has
+// failed.
+func (n *Node) newObserver() *observer.Observer {
+	n.doubts = make(chan struct{}, 1)
+	return &observer.Observer{Doubted: func() {
+		select {
+		case n.doubts <- struct{}{}:
+		default:
+		}
+	}}
+}
+
 // watchReach checks which runners this node reaches, and probes some.
 func (n *Node) watchReach() {
 	targets := n.reachTargets.of(n.tracker.View())
