--- /dev/null
+++ b/review/world/main.go
@@ -0,0 +1,281 @@
+// Command world runs a small deployment on loopback addresses for a review case: the
+// platform's store, model runners, clients, and the project's own program as one process for
+// each entry VM. It checks the rules from what the runners and clients see.
+//
+// # Usage
+//
+//	world -program target/marjorammoor -record record.txt -trouble 1
+//
+// It exits with 1 if a rule was broken, with 0 if all held, and with 2 if the case could not
+// run.
+package main
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	attemptHeader = "Marjorammoor-Attempt-Id"
+	poolService   = "drafting"
+	batchSlots    = 17
+	// runnersPerDomain is the number of runners of a failure domain. Each zone has one domain,
+	// with a spare runner.
+	runnersPerDomain = 7
+	nodesPerZone     = 2
+	rejoinTime       = 200 * time.Millisecond
+	stallTimeout     = 4 * time.Second
+	heartbeat        = 1200 * time.Millisecond
+	eventsPerAnswer  = 30
+	eventInterval    = 60 * time.Millisecond
+	// startupTime is the time until the clients begin, and settledTime the time until the
+	// disruption.
+	startupTime = 11 * time.Second
+	settledTime = 9 * time.Second
+	// cutTime is how long a runner is out of reach, and restTime how long the clients go on
+	// after that.
+	cutTime  = 8 * time.Second
+	restTime = 6 * time.Second
+	cuts     = 3
+	// minServed is the share of the clients' requests outside disruptions that must be
+	// served for a case to count as run.
+	minServed = 0.5
+)
+
+var zones = []string{"charlotte", "atlanta"}
+
+// record collects what was sent, answered and run, and the broken rules.
+type record struct {
+	mu     sync.Mutex
+	file   *os.File
+	start  time.Time
+	broken int
+}
+
+// write adds a line.
+func (r *record) write(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// fail adds a broken rule.
+func (r *record) fail(rule, format string, args ...any) {
+	r.mu.Lock()
+	r.broken++
+	r.mu.Unlock()
+	r.write("BROKEN "+rule+": "+format, args...)
+}
+
+// world is the whole deployment.
+type world struct {
+	dir, logs, subnet, program string
+	record                     *record
+	store                      *store
+	pool                       *pool
+	clients                    *clients
+	nodes                      []*exec.Cmd
+}
+
+func main() {
+	program := flag.String("program", "target/marjorammoor", "the program of the entry VMs")
+	path := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	trouble := flag.Int("trouble", 1, "0 leaves the disruption out")
+	logs := flag.String("logs", "", "an existing folder to keep the logs of the entry VMs in; empty keeps none")
+	flag.Parse()
+	// The entry VMs' processes end with the thread that has started them.
+	runtime.LockOSThread()
+	code, err := run(*program, *path, *logs, *trouble != 0)
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "world:", err)
+	}
+	os.Exit(code)
+}
+
+// run plays the case and returns the exit status.
+func run(program, path, logs string, trouble bool) (int, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return 2, fmt.Errorf("create record: %w", err)
+	}
+	defer f.Close() //nolint:errcheck
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return 2, fmt.Errorf("create folder: %w", err)
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck
+	w := &world{dir: dir, logs: cmp.Or(logs, dir), program: program, record: &record{file: f, start: time.Now()}}
+	defer w.stop()
+	if err := w.startAll(); err != nil {
+		return 2, err
+	}
+	time.Sleep(startupTime)
+	w.clients.start()
+	time.Sleep(settledTime)
+	if w.openHead() == nil {
+		return 2, fmt.Errorf("no group is open after %v", startupTime+settledTime)
+	}
+	for range cuts {
+		w.disrupt(trouble)
+	}
+	w.clients.stop()
+	served, sent := w.clients.counts()
+	w.record.write("clients: %d of %d requests served", served, sent)
+	switch {
+	case w.record.broken > 0:
+		return 1, nil
+	case float64(served) < minServed*float64(sent) || sent == 0:
+		return 2, fmt.Errorf("%d of %d requests served", served, sent)
+	}
+	return 0, nil
+}
+
+// disrupt puts the head of an open group out of reach of all entry VMs for cutTime, if
+// trouble is set. Its links to the store and to the other runners stay.
+func (w *world) disrupt(trouble bool) {
+	head := w.openHead()
+	if trouble && head != nil {
+		w.record.write("%s, head of %s, is out of reach of the entry VMs", head.id, head.membership.name)
+		head.link.cut()
+	}
+	time.Sleep(cutTime)
+	if trouble && head != nil {
+		head.link.heal()
+		w.record.write("%s is in reach again", head.id)
+	}
+	time.Sleep(restTime)
+}
+
+// openHead returns the head of an open group, or nil.
+func (w *world) openHead() *runner {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	var first *runner
+	for _, r := range w.pool.runners {
+		if r.rank == 0 && r.state == "open" && (first == nil || r.id < first.id) {
+			first = r
+		}
+	}
+	return first
+}
+
+// startAll starts the store, the runners and the entry VMs.
+func (w *world) startAll() error {
+	l, err := w.listenStore()
+	if err != nil {
+		return err
+	}
+	w.store = newStore()
+	go func() { _ = http.Serve(l, w.store) }()
+	c := newConfig()
+	w.store.set("config", "main", c)
+	w.pool = &pool{record: w.record, store: w.store, config: c, runners: map[string]*runner{}}
+	for i := range len(zones) * runnersPerDomain {
+		zone := zones[i%len(zones)]
+		id, address := fmt.Sprintf("i-%02d", i+1), fmt.Sprintf("%s.3:%d", w.subnet, 20001+i)
+		if err := w.pool.add(id, zone, zone+"-d0", address); err != nil {
+			return fmt.Errorf("start runner: %w", err)
+		}
+	}
+	w.clients = &clients{world: w}
+	for i := range len(zones) * nodesPerZone {
+		if err := w.startNode(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listenStore listens at the store's address in a part of the loopback network that nothing
+// else uses.
+func (w *world) listenStore() (net.Listener, error) {
+	for n := range 100 {
+		w.subnet = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, n+1)
+		if l, err := net.Listen("tcp4", w.subnet+".1:7000"); err == nil {
+			return l, nil
+		}
+	}
+	return nil, fmt.Errorf("no free loopback address for the store")
+}
+
+const settings = `node_name = "edge-%[1]d"
+role = "node"
+machine_class = "edge"
+serves = ["edge"]
+ip = "%[2]s"
+zone = "%[3]s"
+region = "southeast"
+port_range = [7340,7355]
+seed_nodes = []
+bootstrap = true
+heartbeat_interval_ms = 1200
+[listen]
+frontend = "%[2]s:8227"
+readiness = "%[2]s:8220"
+[limits]
+cpu_quota = 0.4
+cpu_cores = 1
+memory_mb = 284
+max_open_files = 4200
+[bounds]
+stability_window_ms = 3000
+drain_timeout_ms = 2000
+grace_period_s = 8
+config_propagation_ms = 2000
+revoke_fail_closed = true
+revocation_ms = 5000
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_burst = 103
+stall_timeout_ms = 4000
+fencing_required = true
+origin_window_s = 5
+origin_overshoot = 1.1
+[platform]
+address = "%[4]s.1:7000"
+form = "objects"
+`
+
+// nodeIP returns the address of the i-th entry VM.
+func (w *world) nodeIP(i int) string { return fmt.Sprintf("%s.%d", w.subnet, 10+i) }
+
+// startNode starts the process of the i-th entry VM with the command of the deploy file.
+func (w *world) startNode(i int) error {
+	path := filepath.Join(w.dir, fmt.Sprintf("edge-%d.toml", i+1))
+	text := fmt.Sprintf(settings, i+1, w.nodeIP(i), zones[i%len(zones)], w.subnet)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	log, err := os.Create(filepath.Join(w.logs, fmt.Sprintf("edge-%d.log", i+1)))
+	if err != nil {
+		return fmt.Errorf("create log: %w", err)
+	}
+	defer log.Close() //nolint:errcheck
+	cmd := exec.Command(w.program, "serve", "--platform")
+	cmd.Env = append(os.Environ(), "MARJORAMMOOR_SETTINGS="+path)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	w.nodes = append(w.nodes, cmd)
+	return nil
+}
+
+// stop ends all processes that were started.
+func (w *world) stop() {
+	for _, n := range w.nodes {
+		_ = n.Process.Kill()
+		_ = n.Wait()
+	}
+}
