--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/marjorammoor ] && [ -x target/review-world ] || exit 2
-exec target/review-world -record "$here/record.txt" -trouble "${TROUBLE:-1}"
+exec target/review-world -scenario reach -record "$here/record.txt" -trouble "${TROUBLE:-1}"
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -36,17 +36,17 @@
 	rejoinTime       = 200 * time.Millisecond
 	stallTimeout     = 4 * time.Second
 	heartbeat        = 1200 * time.Millisecond
-	eventsPerAnswer  = 30
-	eventInterval    = 60 * time.Millisecond
+	// entryLifetime is how long a runner's entry stays without a heartbeat.
+	entryLifetime   = 3 * heartbeat
+	eventsPerAnswer = 30
+	eventInterval   = 60 * time.Millisecond
 	// startupTime is the time until the clients begin, and settledTime the time until the
 	// disruption.
 	startupTime = 11 * time.Second
 	settledTime = 9 * time.Second
-	// cutTime is how long a runner is out of reach, and restTime how long the clients go on
-	// after that.
-	cutTime  = 8 * time.Second
-	restTime = 6 * time.Second
-	cuts     = 3
+	// restTime is how long the clients go on after a disruption.
+	restTime    = 6 * time.Second
+	disruptions = 3
 	// minServed is the share of the clients' requests outside disruptions that must be
 	// served for a case to count as run.
 	minServed = 0.5
@@ -54,6 +54,20 @@
 
 var zones = []string{"charlotte", "atlanta"}
 
+// scenario is a disruption of the head of an open group.
+type scenario struct {
+	// storeTime is how long it is partitioned from the store; 0 means not at all.
+	storeTime time.Duration
+	// delay is the time from then until it is out of reach of all entry VMs, and cutTime how
+	// long it is.
+	delay, cutTime time.Duration
+}
+
+var scenarios = map[string]scenario{
+	"reach":           {cutTime: 8 * time.Second},
+	"reach-and-store": {storeTime: 10 * time.Second, delay: time.Second, cutTime: 4800 * time.Millisecond},
+}
+
 // record collects what was sent, answered and run, and the broken rules.
 type record struct {
 	mu     sync.Mutex
@@ -91,11 +105,12 @@
 	program := flag.String("program", "target/marjorammoor", "the program of the entry VMs")
 	path := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	trouble := flag.Int("trouble", 1, "0 leaves the disruption out")
+	name := flag.String("scenario", "reach", "the disruption: reach or reach-and-store")
 	logs := flag.String("logs", "", "an existing folder to keep the logs of the entry VMs in; empty keeps none")
 	flag.Parse()
 	// The entry VMs' processes end with the thread that has started them.
 	runtime.LockOSThread()
-	code, err := run(*program, *path, *logs, *trouble != 0)
+	code, err := run(*program, *path, *name, *logs, *trouble != 0)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "world:", err)
 	}
@@ -103,7 +118,11 @@
 }
 
 // run plays the case and returns the exit status.
-func run(program, path, logs string, trouble bool) (int, error) {
+func run(program, path, name, logs string, trouble bool) (int, error) {
+	s, ok := scenarios[name]
+	if !ok {
+		return 2, fmt.Errorf("no scenario %q", name)
+	}
 	f, err := os.Create(path)
 	if err != nil {
 		return 2, fmt.Errorf("create record: %w", err)
@@ -125,8 +144,8 @@
 	if w.openHead() == nil {
 		return 2, fmt.Errorf("no group is open after %v", startupTime+settledTime)
 	}
-	for range cuts {
-		w.disrupt(trouble)
+	for range disruptions {
+		w.disrupt(s, trouble)
 	}
 	w.clients.stop()
 	served, sent := w.clients.counts()
@@ -140,20 +159,26 @@
 	return 0, nil
 }
 
-// disrupt puts the head of an open group out of reach of all entry VMs for cutTime, if
-// trouble is set. Its links to the store and to the other runners stay.
-func (w *world) disrupt(trouble bool) {
+// disrupt plays a scenario once for the head of an open group, if trouble is set. Its links to
+// the other runners stay.
+func (w *world) disrupt(s scenario, trouble bool) {
 	head := w.openHead()
-	if trouble && head != nil {
-		w.record.write("%s, head of %s, is out of reach of the entry VMs", head.id, head.membership.name)
+	isHit := trouble && head != nil
+	if isHit && s.storeTime > 0 {
+		w.record.write("%s, head of %s, is partitioned from the store", head.id, head.membership.name)
+		head.cutFromStore(s.storeTime)
+	}
+	time.Sleep(s.delay)
+	if isHit {
+		w.record.write("%s is out of reach of the entry VMs", head.id)
 		head.link.cut()
 	}
-	time.Sleep(cutTime)
-	if trouble && head != nil {
+	time.Sleep(s.cutTime)
+	if isHit {
 		head.link.heal()
 		w.record.write("%s is in reach again", head.id)
 	}
-	time.Sleep(restTime)
+	time.Sleep(max(s.storeTime-s.delay-s.cutTime, 0) + restTime)
 }
 
 // openHead returns the head of an open group, or nil.
--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -56,6 +56,8 @@
 	fence    int64
 	sequence int64
 	active   int
+	// isCutFromStore is set while the runner can't write its entry.
+	isCutFromStore bool
 }
 
 func (p *pool) add(id, zone, domain, address string) error {
@@ -90,6 +92,10 @@
 // publish writes the runner's entry to the store.
 func (r *runner) publish() {
 	r.pool.mu.Lock()
+	if r.isCutFromStore {
+		r.pool.mu.Unlock()
+		return
+	}
 	preloaded := []string{}
 	if r.staged != "" {
 		preloaded = append(preloaded, r.staged)
@@ -103,6 +109,25 @@
 	r.pool.store.set("servers", r.id, entry)
 }
 
+// cutFromStore partitions the runner from the store for a time. Its entry is removed after
+// three heartbeat intervals of silence.
+func (r *runner) cutFromStore(d time.Duration) {
+	r.pool.mu.Lock()
+	r.isCutFromStore = true
+	r.pool.mu.Unlock()
+	time.AfterFunc(entryLifetime, func() {
+		r.pool.store.remove("servers", r.id)
+		r.pool.record.write("entry of %s is removed", r.id)
+	})
+	time.AfterFunc(d, func() {
+		r.pool.mu.Lock()
+		r.isCutFromStore = false
+		r.pool.mu.Unlock()
+		r.publish()
+		r.pool.record.write("%s reaches the store again", r.id)
+	})
+}
+
 // ServeHTTP answers an order, a report or a client's request.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if expect := q.Header.Get("Marjorammoor-Expect-Instance"); expect != "" && expect != r.id {
