--- a/review/world/runner.go
+++ b/review/world/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -74,6 +75,17 @@
 	return nil
 }
 
+// list returns the runners, ordered by ID.
+func (p *pool) list() []*runner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []*runner{}
+	for _, id := range slices.Sorted(maps.Keys(p.runners)) {
+		list = append(list, p.runners[id])
+	}
+	return list
+}
+
 // group returns the membership as the entry and the report tell it. pool.mu must be held.
 func (r *runner) group() any {
 	if r.membership.name == "" {
@@ -115,7 +127,7 @@
 	r.pool.mu.Lock()
 	r.isCutFromStore = true
 	r.pool.mu.Unlock()
-	time.AfterFunc(entryLifetime, func() {
+	time.AfterFunc(min(entryLifetime, d), func() {
 		r.pool.store.remove("servers", r.id)
 		r.pool.record.write("entry of %s is removed", r.id)
 	})
@@ -128,6 +140,19 @@
 	})
 }
 
+// restart has the runner crash and start again under its ID. It then knows nothing of before;
+// its host keeps the staged weights.
+func (r *runner) restart() {
+	r.pool.mu.Lock()
+	r.pool.record.write("%s of group %s crashes and starts again", r.id, r.membership.name)
+	r.pool.loseMember(r, r.membership)
+	r.born = time.Now().UnixMilli()
+	r.membership, r.state, r.model, r.lastModel, r.breaksAt = membership{}, "", "", "", time.Time{}
+	r.maxEpoch, r.fence, r.sequence = 0, 0, 0
+	r.pool.mu.Unlock()
+	r.publish()
+}
+
 // ServeHTTP answers an order, a report or a client's request.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if expect := q.Header.Get("Marjorammoor-Expect-Instance"); expect != "" && expect != r.id {
