--- a/review/world/main.go
+++ b/review/world/main.go
@@ -50,13 +50,16 @@
 	// crashDelay is the time between crashes while entry VMs are partitioned from the store,
 	// lossDelay the time until the store is lost, lastCrash the time of the last crash before
 	// that, lossTime how long the store is lost, and maxReturn the longest time until an entry
-	// is back after that.
-	crashDelay  = 3 * time.Second
-	lossDelay   = 9 * time.Second
-	lossTime    = 5600 * time.Millisecond
-	lastCrash   = 200 * time.Millisecond
-	maxReturn   = 1900 * time.Millisecond
-	disruptions = 3
+	// is back after that, less up to returnSpread.
+	crashDelay   = 3 * time.Second
+	lossDelay    = 9 * time.Second
+	lossTime     = 5600 * time.Millisecond
+	lastCrash    = 200 * time.Millisecond
+	maxReturn    = 1900 * time.Millisecond
+	returnSpread = 400 * time.Millisecond
+	disruptions  = 3
+	// losses is the number of disruptions in the scenario that loses the store.
+	losses = 4
 	// minServed is the share of the clients' requests outside disruptions that must be
 	// served for a case to count as run.
 	minServed = 0.2
@@ -160,10 +163,12 @@
 	if w.openHead() == nil {
 		return 2, fmt.Errorf("no group is open after %v", startupTime+settledTime)
 	}
-	for i := range disruptions {
-		if s.isStoreLoss {
-			w.loseStore(i, trouble)
-		} else {
+	if s.isStoreLoss {
+		for i := range losses {
+			w.loseStore(i%nodesPerZone, trouble)
+		}
+	} else {
+		for range disruptions {
 			w.disrupt(s, trouble)
 		}
 	}
@@ -225,7 +230,7 @@
 			l.cut()
 		}
 		for _, r := range w.pool.list() {
-			r.cutFromStore(lossTime + rand.N(maxReturn))
+			r.cutFromStore(lossTime + maxReturn - rand.N(returnSpread))
 		}
 	}
 	time.Sleep(lossTime)
