Name what a request counts as stalled for

The hypotheses of the incident differ in who ends a begun answer: silence that this node saw, a report of another node, one silent connection, or a runner out of reach. The logs had one word for all of them. No decision changes.

--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -1,16 +1,11 @@
 package balancer
 
 import (
-	"errors"
 	"math"
 	"sync"
 	"time"
 )
 
-// ErrStalled is passed to the stall callback of a request whose target makes no
-// progress.
-var ErrStalled = errors.New("the target shows no progress")
-
 const (
 	// failureDecay is the weight that the failure rate so far keeps after each
 	// response.
--- a/internal/serving/balancer/reach.go
+++ b/internal/serving/balancer/reach.go
@@ -81,9 +81,7 @@
 		l.mu.Lock()
 		callbacks := l.takeStallCallbacks(now)
 		l.mu.Unlock()
-		for _, callback := range callbacks {
-			callback(ErrStalled)
-		}
+		notifyStalled(callbacks, LostTarget)
 	}
 	b.leaveHopeless()
 }
--- a/internal/serving/balancer/stalls.go
+++ b/internal/serving/balancer/stalls.go
@@ -59,9 +59,7 @@
 	l.suspectedUntil = now.Add(suspicionDuration / 2)
 	callbacks := l.takeStallCallbacks(now.Add(-stallTimeout / 2))
 	l.mu.Unlock()
-	for _, callback := range callbacks {
-		callback(ErrStalled)
-	}
+	notifyStalled(callbacks, ReportedTarget)
 }
 
 // areManySuspected reports whether, with one more, over maxSuspectShare of the targets
@@ -112,15 +110,15 @@
 			continue
 		}
 		callbacks, idle, isSuspected := l.checkStall(now, resumed)
-		if isSuspected {
-			suspectedTargets.Inc()
-			if b.Suspected != nil {
-				b.Suspected(t, idle)
-			}
+		if !isSuspected {
+			notifyStalled(callbacks, SilentStream)
+			continue
 		}
-		for _, callback := range callbacks {
-			callback(ErrStalled)
+		suspectedTargets.Inc()
+		if b.Suspected != nil {
+			b.Suspected(t, idle)
 		}
+		notifyStalled(callbacks, SilentTarget)
 	}
 	b.leaveHopeless()
 	b.Dispatch()
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -154,7 +154,7 @@
 		return false
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_retries_total{reason=%q}`, string(f.Reason))).Inc()
-	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", f.Reason, "outcome", f.Outcome,
+	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", f.Reason, "message", f.Message, "outcome", f.Outcome,
 		"attempts", c.attempts, "last_event", s.lastID, "tried", c.tried, "parts", c.SharedParts)
 	return true
 }
@@ -289,7 +289,7 @@
 	c.attempts++
 	c.stage = StageResponse
 	if errors.Is(context.Cause(ctx), balancer.ErrStalled) {
-		return r.stallFailure(c, slot)
+		return r.stallFailure(ctx, c, slot)
 	}
 	if ctx.Err() != nil {
 		return contextFailure(ctx, c, responder.Unknown)
@@ -300,9 +300,9 @@
 
 // stallFailure returns the failure for a request whose target makes no progress. Idle
 // connections to the target may be as silent as the one of the request.
-func (r *Relayer) stallFailure(c *Call, slot *balancer.Slot) *responder.Failure {
+func (r *Relayer) stallFailure(ctx context.Context, c *Call, slot *balancer.Slot) *responder.Failure {
 	r.Client.CloseIdle(slot.Target.Address)
-	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStalled, balancer.ErrStalled.Error())
+	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStalled, context.Cause(ctx).Error())
 }
 
 // relayBuffered reads a response to its end and writes it to the caller.
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -155,7 +155,7 @@
 func (r *Relayer) streamFailure(ctx context.Context, c *Call, slot *balancer.Slot, err error) *responder.Failure {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, balancer.ErrStalled):
-		return r.stallFailure(c, slot)
+		return r.stallFailure(ctx, c, slot)
 	case ctx.Err() != nil:
 		return contextFailure(ctx, c, responder.Unknown)
 	}
