--- a/internal/serving/relayer/handover_test.go
+++ b/internal/serving/relayer/handover_test.go
@@ -66,12 +66,11 @@
 	r := newRelayer(t, &x.faultCase, "127.0.0.1:1")
 	r.Balancer.Reach = func(balancer.Target) (balancer.Reach, time.Time) { return balancer.CutOff, time.Time{} }
 	peers, scripts := x.listenPeers(t)
-	types := map[string]matcher.RouteType{"idempotent": matcher.Idempotent, "non_idempotent": matcher.NonIdempotent, "stream": matcher.Stream}
 	now := time.Now()
 	c := &Call{
 		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {"q"}}, Arrived: now, Deadline: now.Add(2 * time.Second),
 		CallerDeadline: now.Add(2 * time.Second),
-		Route:          &matcher.Route{Type: types[x.Type], Resumable: x.Resumable, MaxAttempts: 2, TargetLatency: time.Second},
+		Route:          &matcher.Route{Type: routeTypes[x.Type], Resumable: x.Resumable, MaxAttempts: 2, TargetLatency: time.Second},
 	}
 	// Nodes are offered one after the other.
 	r.Peers = &deliverer.Deliverer{Self: "here", Client: &requester.Client{}, Peers: func(string, string) []deliverer.Peer {
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -54,6 +54,9 @@
 	ResumedAfter string `json:"resumed_after"`
 }
 
+// routeTypes are the names of types in test data.
+var routeTypes = map[string]matcher.RouteType{"idempotent": matcher.Idempotent, "non_idempotent": matcher.NonIdempotent, "stream": matcher.Stream}
+
 // scriptedRunners serves the n-th request with the n-th behavior in runs, and
 // further ones with "ok".
 type scriptedRunners struct {
@@ -110,6 +113,9 @@
 	case "endless":
 		_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nTransfer-Encoding: chunked\r\n")
 		writeWithoutEnd(c)
+	case "late":
+		time.Sleep(silence)
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
 	case "hang_up":
 	case "not_run":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: replicas_full\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 200\r\nContent-Length: 0\r\n")
@@ -130,6 +136,9 @@
 	}
 }
 
+// silence is how long a runner that goes on sends nothing.
+const silence = 300 * time.Millisecond
+
 // writeWithoutEnd writes chunks until the connection is closed.
 func writeWithoutEnd(w io.Writer) {
 	data := strings.Repeat("x", 32<<10)
@@ -149,10 +158,17 @@
 	}
 	write := func(s string) { _, _ = io.WriteString(w, frame(s)) }
 	for i := first; i <= last; i++ {
+		if i == last && ending == "hang" {
+			time.Sleep(10 * silence)
+			return
+		}
+		if i == last && ending == "pause" {
+			time.Sleep(silence)
+		}
 		write(fmt.Sprintf("id: %d\ndata: x\n\n", i))
 	}
 	switch ending {
-	case "end":
+	case "end", "pause":
 		_, _ = io.WriteString(w, end)
 	case "gap":
 		write(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
@@ -233,12 +249,11 @@
 	s := &scriptedRunners{runs: x.Runs}
 	go s.serve(l)
 	r := newRelayer(t, x, l.Addr().String())
-	types := map[string]matcher.RouteType{"idempotent": matcher.Idempotent, "non_idempotent": matcher.NonIdempotent, "stream": matcher.Stream}
 	now := time.Now()
 	c := &Call{
 		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(2 * time.Second),
 		CallerDeadline: now.Add(2 * time.Second), LastEvent: x.Last,
-		Route: &matcher.Route{Type: types[x.Type], Resumable: x.Resumable, MaxAttempts: 2, TargetLatency: time.Second},
+		Route: &matcher.Route{Type: routeTypes[x.Type], Resumable: x.Resumable, MaxAttempts: 2, TargetLatency: time.Second},
 	}
 	status, body := 0, strings.Builder{}
 	failure := r.Serve(t.Context(), c, &ResponseWriter{
--- /dev/null
+++ b/internal/serving/relayer/silence_test.go
@@ -0,0 +1,137 @@
+package relayer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/routing/retrier"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// silenceCase is one entry of testdata/silences.json: what the runners do with the attempts of
+// a request while the node takes each runner for lost, again and again.
+type silenceCase struct {
+	Name string
+	Type string
+	// MaxAttempts is that of the route, and Runners the number of runners with a free slot.
+	MaxAttempts int `json:"max_attempts"`
+	Runners     int
+	// Budget is the number of retries that the budget allows.
+	Budget float64
+	// FullMS is until when all slots but one are taken; 0 means that they are free.
+	FullMS int `json:"full_ms"`
+	// Runs are as in faultCase. A stream with the ending "pause" is silent before its last
+	// event, and one with "hang" for good.
+	Runs []string
+	// Events is the number of events that the caller must receive in a whole response, and Sends
+	// the number of attempts.
+	Events int
+	Sends  int
+}
+
+// TestSilentRunnersEndNoAnswer checks that silence of a runner ends no answer unless another
+// attempt begins in its place.
+func TestSilentRunnersEndNoAnswer(t *testing.T) {
+	b, err := os.ReadFile("testdata/silences.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []silenceCase{}
+	if err := json.Unmarshal(b, &list); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) { x.check(t) })
+	}
+}
+
+func (x *silenceCase) check(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck
+	s := &scriptedRunners{runs: x.Runs}
+	go s.serve(l)
+	r := x.relayer(l.Addr().String())
+	x.fill(t, r.Balancer)
+	stop := make(chan struct{})
+	defer close(stop)
+	go believeLost(r.Balancer, stop)
+	now := time.Now()
+	c := &Call{
+		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(5 * time.Second), CallerDeadline: now.Add(5 * time.Second),
+		Route: &matcher.Route{Type: routeTypes[x.Type], Resumable: x.Type == "stream", MaxAttempts: x.MaxAttempts, TargetLatency: time.Second, Patience: 2 * time.Second},
+	}
+	body := strings.Builder{}
+	failure := r.Serve(t.Context(), c, &ResponseWriter{
+		Start: func(int, http.Header) {},
+		Write: func(b []byte) error { _, err := body.Write(b); return err },
+	})
+	if failure != nil {
+		t.Errorf("failed after %v: %s, %s, started %t", time.Since(now).Round(time.Millisecond), failure.Reason, failure.Message, failure.Started)
+	}
+	if n := strings.Count(body.String(), "\n\n"); n != x.Events {
+		t.Errorf("%d events, wanted %d: %q", n, x.Events, body.String())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sends != x.Sends {
+		t.Errorf("%d attempts, wanted %d", s.sends, x.Sends)
+	}
+}
+
+// relayer returns a relayer with the runners of a case, all at one address.
+func (x *silenceCase) relayer(address string) *Relayer {
+	tr := &tracker.Tracker{}
+	tr.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	list := []*tracker.Runner{}
+	for i := range x.Runners {
+		list = append(list, &tracker.Runner{ID: fmt.Sprintf("r%d", i), Service: "s", Address: address, State: tracker.Ready, Slots: 1})
+	}
+	tr.Replace(list, 0)
+	budget := &retrier.SharedBudget{Burst: x.Budget}
+	return &Relayer{
+		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
+		Breaker: &breaker.Breaker{HasEnded: func(breaker.Runner) bool { return false }},
+		Budget:  func(string) *retrier.SharedBudget { return budget }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
+// fill takes all slots but one until FullMS.
+func (x *silenceCase) fill(t *testing.T, b *balancer.Balancer) {
+	if x.FullMS == 0 {
+		return
+	}
+	for range x.Runners - 1 {
+		slot, err := b.Acquire(t.Context(), &balancer.Request{Service: "s", Arrived: time.Now(), WaitUntil: time.Now().Add(time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(ms(x.FullMS), slot.Release)
+	}
+}
+
+// believeLost takes all targets for lost every few milliseconds.
+func believeLost(b *balancer.Balancer, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+			b.LeaveLost(func(balancer.Target) bool { return true })
+		}
+	}
+}
