A silent attempt goes on until another one has sent something

Cause: the callback of a stall cancelled the attempt before anyone asked whether another one may begin. Attempts, the retry budget, free slots and the next runner's connection were found wanting afterwards, when there was nothing to go back to. Change: while a runner is silent, the call is sent to another one, if attempts, budget, breaker and slots allow, and the first of the two that sends something goes on; the other is cancelled then. A last attempt is kept. A request that must not be repeated is not touched, as before. Each attempt now is an object of its own, of which a call may have two. Evidence: TestSilentRunnersEndNoAnswer failed in 7 of 10 cases ("failed after 11ms: stalled, ... started true"); with nine more cases all hold, also with the race detector.

--- a/internal/routing/retrier/shared.go
+++ b/internal/routing/retrier/shared.go
@@ -92,6 +92,18 @@
 	return true
 }
 
+// HasLeft reports whether a retry is left. If none is, the budget counts as having denied one.
+func (b *SharedBudget) HasLeft() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current()
+	if max(b.left(), 0)+b.gifts() >= 1 {
+		return true
+	}
+	b.deniedAt = b.now()
+	return false
+}
+
 // IsWanting reports whether the budget has lately denied a retry and has none left.
 func (b *SharedBudget) IsWanting() bool {
 	b.mu.Lock()
--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -97,8 +97,11 @@
 	balancer   *Balancer
 	queue      *queue
 	acquiredAt time.Time
-	onStall    func(error)
-	released   bool
+	// onStall is called when the target stalls, and again once it has made progress since.
+	// isStalled is set in between.
+	onStall   func(error)
+	isStalled bool
+	released  bool
 	// isRemote is set if the target is in another data centre.
 	isRemote bool
 	// firstEvent is Request.FirstEvent.
@@ -109,14 +112,23 @@
 	progressAt  time.Time
 }
 
-// OnStall sets the function that is called when the target stalls. It is set only
-// for requests that may be retried on another target.
+// OnStall sets the function that is called when the target stalls, and again when it does
+// after it has made progress for the request. It is set only for requests that may be retried
+// on another target.
 func (s *Slot) OnStall(callback func(error)) {
 	s.load.mu.Lock()
 	s.onStall = callback
 	s.load.mu.Unlock()
 }
 
+// IsStalled reports whether the target has made no progress for the request since the function
+// of OnStall was last called.
+func (s *Slot) IsStalled() bool {
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	return s.isStalled
+}
+
 // RecordProgress records that the target has sent something for the request.
 func (s *Slot) RecordProgress() {
 	if s == nil {
@@ -125,7 +137,7 @@
 	now := time.Now()
 	s.load.mu.Lock()
 	s.load.lastProgress = now
-	s.hasProgress, s.progressAt = true, now
+	s.hasProgress, s.progressAt, s.isStalled = true, now, false
 	s.load.mu.Unlock()
 }
 
@@ -158,6 +170,9 @@
 // Release frees the slot and offers it to waiting requests. Further calls do
 // nothing.
 func (s *Slot) Release() {
+	if s == nil {
+		return
+	}
 	s.load.mu.Lock()
 	if s.released {
 		s.load.mu.Unlock()
--- a/internal/serving/balancer/stalls.go
+++ b/internal/serving/balancer/stalls.go
@@ -181,29 +181,29 @@
 	return max(limit, quietTime+l.peerInterval+reportSlack)
 }
 
-// takeBrokenStreams returns and clears the callbacks of the streams that have paused
+// takeBrokenStreams returns the callbacks of the streams that have paused
 // for too long although their target sends events to others. l.mu must be held.
 func (l *targetLoad) takeBrokenStreams(now, resumed time.Time) []func(error) {
 	callbacks := []func(error){}
 	for s := range l.localSlots {
-		if s.onStall == nil || !s.hasProgress || now.Sub(latest(s.progressAt, resumed)) < brokenStreamTimeout {
+		if s.onStall == nil || s.isStalled || !s.hasProgress || now.Sub(latest(s.progressAt, resumed)) < brokenStreamTimeout {
 			continue
 		}
 		brokenStreams.Inc()
 		callbacks = append(callbacks, s.onStall)
-		s.onStall = nil
+		s.isStalled = true
 	}
 	return callbacks
 }
 
-// takeStallCallbacks returns and clears the callbacks of the slots that were
-// acquired before the given time. l.mu must be held.
+// takeStallCallbacks returns the callbacks of the slots that were acquired before the given
+// time and did not count as stalled. l.mu must be held.
 func (l *targetLoad) takeStallCallbacks(before time.Time) []func(error) {
 	callbacks := []func(error){}
 	for s := range l.localSlots {
-		if s.onStall != nil && s.acquiredAt.Before(before) {
+		if s.onStall != nil && !s.isStalled && s.acquiredAt.Before(before) {
 			callbacks = append(callbacks, s.onStall)
-			s.onStall = nil
+			s.isStalled = true
 		}
 	}
 	return callbacks
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -60,6 +60,8 @@
 	attempts int
 	// tried lists the IDs of the targets that were chosen, in order.
 	tried []string
+	// next is the attempt that goes on in place of the last one, which was silent.
+	next *attempt
 	// isDelivered is set if another node has handed the call over, and triedPeers lists the
 	// nodes that this one has handed it over to.
 	isDelivered bool
--- a/internal/serving/relayer/drip_test.go
+++ b/internal/serving/relayer/drip_test.go
@@ -97,7 +97,8 @@
 	c := &Call{Route: &matcher.Route{Type: matcher.Stream, Resumable: true}, Arrived: time.Now(), guard: guard}
 	a := &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}
 	body := &drip{ctx: ctx, events: events, every: every, bytes: 200 * time.Millisecond}
-	failure := r.relayStream(ctx, c, a, &stream{}, slot, &requester.Response{Status: http.StatusOK, Header: http.Header{}, Body: body})
+	at := &attempt{ctx: ctx, slot: slot, response: &requester.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}}
+	failure := r.relayStream(c, a, &stream{}, at)
 	time.Sleep(100 * time.Millisecond)
 	return failure.Reason, time.Since(c.Arrived) - 100*time.Millisecond
 }
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -11,7 +11,6 @@
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/deliverer"
-	"marjorammoor/internal/serving/matcher"
 )
 
 const (
@@ -32,24 +31,31 @@
 	}
 }
 
-// handOver sends a call to another node that reaches the runners, since this one does not.
-func (r *Relayer) handOver(ctx context.Context, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
+// handOver sends a call to another node that reaches the runners, since this one does not, up to
+// the header of the response.
+func (r *Relayer) handOver(ctx context.Context, c *Call, lastEvent string) (*attempt, *responder.Failure) {
 	c.stage = StagePeer
 	failure := unreachableFailure(c)
 	for range maxPeers {
 		peer, ok := r.Peers.Choose(c.Service, c.Model, c.triedPeers)
 		if c.isDelivered || !ok {
-			return failure
+			return nil, failure
 		}
 		c.triedPeers = append(c.triedPeers, peer.Name)
 		r.Log.Info("request is handed over", "request", c.ID, "service", c.Service, "peer", peer.Name, "remote", peer.IsRemote,
-			"peer_load", peer.Load, "attempts", c.attempts, "last_event", s.lastID)
-		failure = r.sendToPeer(ctx, c, a, s, peer)
-		if failure == nil || failure.Reason != responder.ReasonUnreachable || ctx.Err() != nil {
-			return failure
+			"peer_load", peer.Load, "attempts", c.attempts, "last_event", lastEvent)
+		at := newAttempt(ctx, c.guard, nil)
+		at.endDelivery = r.Peers.Begin(peer)
+		failure = r.sendToPeer(c, at, lastEvent, peer)
+		if failure == nil {
+			return at, nil
+		}
+		at.close()
+		if failure.Reason != responder.ReasonUnreachable || ctx.Err() != nil {
+			return nil, failure
 		}
 	}
-	return failure
+	return nil, failure
 }
 
 func unreachableFailure(c *Call) *responder.Failure {
@@ -58,34 +64,27 @@
 	return f
 }
 
-// sendToPeer hands a call over to one node and relays the response.
-func (r *Relayer) sendToPeer(ctx context.Context, c *Call, a *ResponseWriter, s *stream, peer deliverer.Peer) *responder.Failure {
-	defer r.Peers.Begin(peer)()
+// sendToPeer hands a call over to one node, up to the header of the response.
+func (r *Relayer) sendToPeer(c *Call, at *attempt, lastEvent string, peer deliverer.Peer) *responder.Failure {
 	request := &requester.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: r.Wire.EndToEnd(c.Header), EchoHeader: r.Wire.Echo,
 	}
-	response, err := r.Peers.Send(ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: s.lastID})
+	response, err := r.Peers.Send(at.ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: lastEvent})
 	if err != nil {
-		return r.peerFailure(ctx, c, err)
+		return r.peerFailure(at.ctx, c, err)
 	}
-	defer response.Close()
+	at.response = response
 	if f, failed := deliverer.ParseFailure(response); failed {
 		c.attempts = max(c.attempts, f.Attempts)
 		f.RequestID = c.ID
 		return f
 	}
 	c.attempts = max(c.attempts, deliverer.ParseAttempts(response.Header))
-	c.stage = StageBody
 	inspection := r.Wire.Inspect(response.Status, response.Header)
-	switch {
-	case !inspection.Verified || inspection.Encoded:
+	if !inspection.Verified || inspection.Encoded {
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
-	case c.Route.Type == matcher.Stream && response.Status == http.StatusOK:
-		return r.relayStream(ctx, c, a, s, nil, response)
-	case s.started:
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, fmt.Sprintf("status %d for a resumed stream", response.Status))
 	}
-	return r.relayBuffered(ctx, c, a, nil, response)
+	return nil
 }
 
 // peerFailure returns the failure for a call to which another node gave no response. If that
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -84,14 +84,18 @@
 		budget.Earn()
 	}
 	s := &stream{lastID: c.LastEvent}
+	defer func() { c.next.close() }()
 	for {
-		failure := r.try(ctx, c, a, s)
+		failure := r.try(ctx, c, a, s, budget)
 		if failure == nil {
 			return nil
 		}
 		if failure.Outcome == responder.Unknown {
 			c.mayHaveRun = true
 		}
+		if c.next != nil && ctx.Err() == nil {
+			continue
+		}
 		if r.shouldRetry(ctx, c, s, failure, budget) {
 			waitBeforeRetry(ctx, failure)
 			continue
@@ -153,12 +157,21 @@
 		r.Log.Warn("retry budget exhausted, request is not retried", "request", c.ID, "service", c.Service, "reason", f.Reason)
 		return false
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_retries_total{reason=%q}`, string(f.Reason))).Inc()
-	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", f.Reason, "message", f.Message, "outcome", f.Outcome,
-		"attempts", c.attempts, "last_event", s.lastID, "tried", c.tried, "parts", c.SharedParts)
+	countRetry(f.Reason)
+	r.logRetry(c, s, f.Reason, f.Message, f.Outcome)
 	return true
 }
 
+// logRetry logs that a call is sent again.
+func (r *Relayer) logRetry(c *Call, s *stream, reason responder.Reason, message string, outcome responder.Outcome) {
+	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", reason, "message", message, "outcome", outcome,
+		"attempts", c.attempts, "last_event", s.last(), "tried", c.tried, "parts", c.SharedParts)
+}
+
+func countRetry(reason responder.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_retries_total{reason=%q}`, string(reason))).Inc()
+}
+
 // waitBeforeRetry waits for a short time after a connection broke. Connections to other
 // runners may be breaking too, and by then this node knows whether it reaches them.
 func waitBeforeRetry(ctx context.Context, f *responder.Failure) {
@@ -190,55 +203,45 @@
 	return true
 }
 
-// try acquires a slot and sends a call once.
-func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
+// try sends a call once, or goes on with an attempt that was sent while the last one was silent.
+func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream, b *retrier.SharedBudget) *responder.Failure {
+	at, failure := r.begin(ctx, c, s, b)
+	if at == nil {
+		return failure
+	}
+	defer at.close()
+	guard := c.guard
+	defer func() { c.guard = guard }()
+	c.guard = at.guard
+	if failure == nil {
+		failure = r.relay(c, a, s, at)
+	}
+	if at.next != nil {
+		c.next = at.next.end(c, failure)
+	}
+	return failure
+}
+
+// begin returns the next attempt of a call once its response has begun, or with the failure by
+// which it has ended, or only a failure if there is no attempt.
+func (r *Relayer) begin(ctx context.Context, c *Call, s *stream, b *retrier.SharedBudget) (*attempt, *responder.Failure) {
+	if at := c.next; at != nil {
+		c.next = nil
+		r.watch(ctx, c, s, at, b)
+		return at, nil
+	}
 	c.stage = StageSlot
 	slot, err := r.acquireSlot(ctx, c)
 	switch {
 	case errors.Is(err, balancer.ErrUnreachable):
-		return r.handOver(ctx, c, a, s)
+		return r.handOver(ctx, c, s.last())
 	case err != nil:
-		return slotFailure(ctx, c, err)
-	}
-	defer slot.Release()
-	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address, BootTime: slot.Target.BootTime}); err != nil {
-		return blockedFailure(c, responder.NotRun, err)
-	}
-	attempt, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if c.Route.IsRepeatable() {
-		slot.OnStall(func(cause error) { cancel(cause) })
+		return nil, slotFailure(ctx, c, err)
 	}
+	at := newAttempt(ctx, c.guard, slot)
 	c.tried = append(c.tried, slot.Target.ID)
-	remaining := time.Until(c.CallerDeadline)
-	c.stage = StageConnection
-	request := &requester.Request{
-		Method: c.Method, Address: slot.Target.Address, Target: c.Target, Host: c.Host, Body: c.Body,
-		Header: r.Wire.Header(c, slot.Target, remaining, s.lastID), EchoHeader: r.Wire.Echo,
-	}
-	response, err := r.Client.Do(attempt, request)
-	if err != nil {
-		return r.sendFailure(attempt, c, slot, err)
-	}
-	defer response.Close()
-	c.attempts++
-	c.stage = StageBody
-	slot.RecordProgress()
-	inspection := r.Wire.Inspect(response.Status, response.Header)
-	r.recordAsked(slot, inspection)
-	switch {
-	case inspection.NotRun || inspection.Misdirected:
-		return r.refusalFailure(c, slot, response, inspection)
-	case !inspection.Verified || inspection.Encoded:
-		slot.RecordFailure()
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
-	case c.Route.Type == matcher.Stream && response.Status == http.StatusOK:
-		return r.relayStream(attempt, c, a, s, slot, response)
-	case s.started:
-		slot.RecordFailure()
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, fmt.Sprintf("the runner returned status %d for a resumed stream", response.Status))
-	}
-	return r.relayBuffered(attempt, c, a, slot, response)
+	r.watch(ctx, c, s, at, b)
+	return at, r.send(c, at, s.last())
 }
 
 // recordAsked records what a runner's response asks of its callers: that they stay away, for a
@@ -306,18 +309,25 @@
 }
 
 // relayBuffered reads a response to its end and writes it to the caller.
-func (r *Relayer) relayBuffered(ctx context.Context, c *Call, a *ResponseWriter, slot *balancer.Slot, response *requester.Response) *responder.Failure {
+func (r *Relayer) relayBuffered(c *Call, a *ResponseWriter, at *attempt) *responder.Failure {
+	ctx, slot, response := at.ctx, at.slot, at.response
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errResponseTooLarge
 	}
 	if err != nil {
-		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), balancer.ErrStalled) {
+		switch {
+		case errors.Is(context.Cause(ctx), balancer.ErrStalled):
+			return r.stallFailure(ctx, c, slot)
+		case ctx.Err() != nil:
 			return contextFailure(ctx, c, responder.Unknown)
 		}
 		c.recordBreak(slot)
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
+	if !at.recordProgress() {
+		return r.stallFailure(ctx, c, slot)
+	}
 	c.guard.Complete()
 	if response.Status >= http.StatusInternalServerError {
 		slot.RecordFailure()
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -116,6 +116,8 @@
 	case "late":
 		time.Sleep(silence)
 		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
+	case "mute":
+		time.Sleep(10 * silence)
 	case "hang_up":
 	case "not_run":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: replicas_full\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 200\r\nContent-Length: 0\r\n")
--- a/internal/serving/relayer/silence_test.go
+++ b/internal/serving/relayer/silence_test.go
@@ -25,9 +25,11 @@
 type silenceCase struct {
 	Name string
 	Type string
-	// MaxAttempts is that of the route, and Runners the number of runners with a free slot.
+	// MaxAttempts is that of the route, Runners the number of runners with a free slot, and
+	// Unreachable the number of others, which refuse connections once the request was sent.
 	MaxAttempts int `json:"max_attempts"`
 	Runners     int
+	Unreachable int
 	// Budget is the number of retries that the budget allows.
 	Budget float64
 	// FullMS is until when all slots but one are taken; 0 means that they are free.
@@ -102,6 +104,12 @@
 		list = append(list, &tracker.Runner{ID: fmt.Sprintf("r%d", i), Service: "s", Address: address, State: tracker.Ready, Slots: 1})
 	}
 	tr.Replace(list, 0)
+	time.AfterFunc(silence/10, func() {
+		for i := range x.Unreachable {
+			list = append(list, &tracker.Runner{ID: fmt.Sprintf("closed%d", i), Service: "s", Address: "127.0.0.1:1", State: tracker.Ready, Slots: 1})
+		}
+		tr.Replace(list, 0)
+	})
 	budget := &retrier.SharedBudget{Burst: x.Budget}
 	return &Relayer{
 		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
--- a/internal/serving/relayer/slot.go
+++ b/internal/serving/relayer/slot.go
@@ -31,14 +31,7 @@
 	if remaining < minRemaining {
 		return nil, errNoTime
 	}
-	model, _ := c.Engine.Model(c.Model)
-	request := &balancer.Request{
-		Service: c.Service, Model: c.Model, Team: c.Team, Priority: c.Priority, Arrived: c.Arrived,
-		FirstEvent: estimator.FirstEvent(c.Engine, model, c.PromptTokens),
-		Objective:  c.Arrived.Add(c.Route.TargetLatency),
-		Tried:      c.tried,
-		MayLeave:   func() bool { return !c.isDelivered && r.Peers.HasPeer(c.Service, c.Model) },
-	}
+	request := r.slotRequest(c)
 	request.WaitUntil = c.waitUntil(now, remaining, request.FirstEvent)
 	s, err := r.Balancer.Acquire(ctx, request)
 	c.Timing.Placed += time.Since(now)
@@ -48,6 +41,18 @@
 	return s, nil
 }
 
+// slotRequest returns the request for a slot for a call, without WaitUntil.
+func (r *Relayer) slotRequest(c *Call) *balancer.Request {
+	model, _ := c.Engine.Model(c.Model)
+	return &balancer.Request{
+		Service: c.Service, Model: c.Model, Team: c.Team, Priority: c.Priority, Arrived: c.Arrived,
+		FirstEvent: estimator.FirstEvent(c.Engine, model, c.PromptTokens),
+		Objective:  c.Arrived.Add(c.Route.TargetLatency),
+		Tried:      c.tried,
+		MayLeave:   func() bool { return !c.isDelivered && r.Peers.HasPeer(c.Service, c.Model) },
+	}
+}
+
 var errNoTime = errors.New("no time is left")
 
 // slotFailure returns the failure for a call that gets no slot.
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
@@ -26,13 +27,17 @@
 
 	errOutOfOrder = errors.New("an event of the stream is out of order")
 	errNoEvent    = errors.New("the connection was closed before the first event")
+
+	errEventTooLarge = errors.New("an event is too large")
 )
 
 // stream is the state of a streamed response to the caller, over all attempts.
 type stream struct {
 	// started is set once the header has been written to the caller.
 	started bool
-	// lastID is the ID of the last event that the caller has received.
+	// lastID is the ID of the last event that the caller has received. mu is held while it
+	// changes, as other goroutines read it.
+	mu     sync.Mutex
 	lastID string
 	// pending holds received bytes that do not yet form a complete event, and hasEvent is
 	// set once the current attempt has sent one.
@@ -40,31 +45,44 @@
 	hasEvent bool
 }
 
+// last returns the ID of the last event that the caller has received.
+func (s *stream) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastID
+}
+
 // relayStream forwards complete events to the caller until the response ends.
-func (r *Relayer) relayStream(ctx context.Context, c *Call, a *ResponseWriter, s *stream, slot *balancer.Slot, response *requester.Response) *responder.Failure {
-	s.pending, s.hasEvent = s.pending[:0], false
+func (r *Relayer) relayStream(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
+	s.pending, s.hasEvent = append(s.pending[:0], at.ahead...), false
+	if failure := r.forwardEvents(c, a, s, at); failure != nil {
+		return failure
+	}
 	buffer := make([]byte, streamBufferSize)
 	for {
-		n, readErr := response.Body.Read(buffer)
+		n, readErr := at.response.Body.Read(buffer)
 		if n > 0 {
 			s.pending = append(s.pending, buffer[:n]...)
-			if failure := r.forwardEvents(c, a, s, slot, response); failure != nil {
+			if failure := r.forwardEvents(c, a, s, at); failure != nil {
 				return failure
 			}
 		}
 		switch {
 		case readErr == nil:
-		case errors.Is(readErr, io.EOF) && response.EndsWithConnection && !s.hasEvent:
-			return r.streamFailure(ctx, c, slot, errNoEvent)
+		case errors.Is(readErr, io.EOF) && at.response.EndsWithConnection && !s.hasEvent:
+			return r.streamFailure(c, at, errNoEvent)
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
-			slot.RecordSuccess()
-			if !response.EndsWithConnection {
+			if !at.recordProgress() {
+				return r.stallFailure(at.ctx, c, at.slot)
+			}
+			at.slot.RecordSuccess()
+			if !at.response.EndsWithConnection {
 				c.guard.Complete()
 			}
-			r.writeHeader(a, s, response)
+			r.writeHeader(a, s, at.response)
 			return nil
 		default:
-			return r.streamFailure(ctx, c, slot, readErr)
+			return r.streamFailure(c, at, readErr)
 		}
 	}
 }
@@ -82,21 +100,22 @@
 // forwardEvents writes the complete events among the pending bytes to the caller. Only
 // complete events count as progress of the target: single bytes now and then do not
 // keep a stalled stream alive.
-func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, slot *balancer.Slot, response *requester.Response) *responder.Failure {
-	end := bytes.LastIndex(s.pending, eventEnd)
-	if end < 0 {
+func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
+	end := lastEventEnd(s.pending)
+	if end == 0 {
 		if len(s.pending) > maxEventSize {
-			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, "an event is too large")
+			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, errEventTooLarge.Error())
 		}
 		return nil
 	}
-	end += len(eventEnd)
+	if !at.recordProgress() {
+		return r.stallFailure(at.ctx, c, at.slot)
+	}
 	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		s.hasEvent = true
-		slot.RecordProgress()
 		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
-		r.writeHeader(a, s, response)
+		r.writeHeader(a, s, at.response)
 		if err := a.Write(s.pending[:valid]); err != nil {
 			return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
 		}
@@ -109,10 +128,21 @@
 	return nil
 }
 
+// lastEventEnd returns the length of the complete events at the start of b.
+func lastEventEnd(b []byte) int {
+	end := bytes.LastIndex(b, eventEnd)
+	if end < 0 {
+		return 0
+	}
+	return end + len(eventEnd)
+}
+
 // checkOrder verifies that the event IDs continue the sequence and records the last
 // one. It returns the length in bytes of the events before the first one out of
 // sequence.
 func (s *stream) checkOrder(events []byte) (valid int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for valid < len(events) {
 		end := valid + bytes.Index(events[valid:], eventEnd)
 		id, ok := eventID(events[valid : end+1])
@@ -152,13 +182,13 @@
 }
 
 // streamFailure returns the failure for a stream that broke off before its end.
-func (r *Relayer) streamFailure(ctx context.Context, c *Call, slot *balancer.Slot, err error) *responder.Failure {
-	switch cause := context.Cause(ctx); {
+func (r *Relayer) streamFailure(c *Call, at *attempt, err error) *responder.Failure {
+	switch cause := context.Cause(at.ctx); {
 	case errors.Is(cause, balancer.ErrStalled):
-		return r.stallFailure(ctx, c, slot)
-	case ctx.Err() != nil:
-		return contextFailure(ctx, c, responder.Unknown)
+		return r.stallFailure(at.ctx, c, at.slot)
+	case at.ctx.Err() != nil:
+		return contextFailure(at.ctx, c, responder.Unknown)
 	}
-	c.recordBreak(slot)
+	c.recordBreak(at.slot)
 	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, err.Error())
 }
