Use a runner again as soon as it goes on

Cause: progress of a target ended no suspicion; before, its requests were cancelled, so that none was left to show progress. Change: whatever a target sends ends this node's suspicion. Evidence: TestRunnerThatGoesOnIsUsedAgain failed with "the target is suspected although it goes on".

--- a/internal/serving/balancer/load.go
+++ b/internal/serving/balancer/load.go
@@ -129,7 +129,8 @@
 	return s.isStalled
 }
 
-// RecordProgress records that the target has sent something for the request.
+// RecordProgress records that the target has sent something for the request, so that it is not
+// suspected any longer.
 func (s *Slot) RecordProgress() {
 	if s == nil {
 		return
@@ -137,6 +138,7 @@
 	now := time.Now()
 	s.load.mu.Lock()
 	s.load.lastProgress = now
+	s.load.suspectedUntil, s.load.locallySuspectedUntil = time.Time{}, time.Time{}
 	s.hasProgress, s.progressAt, s.isStalled = true, now, false
 	s.load.mu.Unlock()
 }
--- a/internal/serving/balancer/stalls_test.go
+++ b/internal/serving/balancer/stalls_test.go
@@ -152,3 +152,27 @@
 		}
 	})
 }
+
+// TestRunnerThatGoesOnIsUsedAgain checks that a target that was suspected gets requests again as
+// soon as it has sent something.
+func TestRunnerThatGoesOnIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer("m", 8, "a")
+		s := acquire(t, b, request("m", 1, 0, time.Second))
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			b.CheckStalls()
+		}
+		if !isSuspected(b, "a") {
+			t.Fatal("the silent target is not suspected")
+		}
+		s.RecordProgress()
+		if isSuspected(b, "a") || len(b.LocalLoad().Suspects) > 0 {
+			t.Error("the target is suspected although it goes on")
+		}
+		b.CheckStalls()
+		if isSuspected(b, "a") {
+			t.Error("the target is suspected again at once")
+		}
+	})
+}
