--- a/internal/serving/relayer/silence_test.go
+++ b/internal/serving/relayer/silence_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,10 +31,14 @@
 	MaxAttempts int `json:"max_attempts"`
 	Runners     int
 	Unreachable int
+	// ComesMS is when one more runner comes; 0 means never.
+	ComesMS int `json:"comes_ms"`
 	// Budget is the number of retries that the budget allows.
 	Budget float64
 	// FullMS is until when all slots but one are taken; 0 means that they are free.
 	FullMS int `json:"full_ms"`
+	// DeadlineMS is the time for the request; 0 means 5000.
+	DeadlineMS int `json:"deadline_ms"`
 	// Runs are as in faultCase. A stream with the ending "pause" is silent before its last
 	// event, and one with "hang" for good.
 	Runs []string
@@ -46,7 +51,21 @@
 // TestSilentRunnersEndNoAnswer checks that silence of a runner ends no answer unless another
 // attempt begins in its place.
 func TestSilentRunnersEndNoAnswer(t *testing.T) {
-	b, err := os.ReadFile("testdata/silences.json")
+	for _, x := range readSilences(t, "testdata/silences.json") {
+		t.Run(x.Name, func(t *testing.T) { x.check(t, true) })
+	}
+}
+
+// TestBegunStreamWaitsForASlot checks that a stream that was broken off waits for a slot elsewhere
+// for as long as its caller does, since it cannot be refused any more.
+func TestBegunStreamWaitsForASlot(t *testing.T) {
+	for _, x := range readSilences(t, "testdata/begun.json") {
+		t.Run(x.Name, func(t *testing.T) { x.check(t, false) })
+	}
+}
+
+func readSilences(t *testing.T, path string) []silenceCase {
+	b, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,12 +73,11 @@
 	if err := json.Unmarshal(b, &list); err != nil {
 		t.Fatal(err)
 	}
-	for _, x := range list {
-		t.Run(x.Name, func(t *testing.T) { x.check(t) })
-	}
+	return list
 }
 
-func (x *silenceCase) check(t *testing.T) {
+// check plays a case. If believesLost is set, the node takes all runners for lost.
+func (x *silenceCase) check(t *testing.T, believesLost bool) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -71,10 +89,13 @@
 	x.fill(t, r.Balancer)
 	stop := make(chan struct{})
 	defer close(stop)
-	go believeLost(r.Balancer, stop)
+	if believesLost {
+		go believeLost(r.Balancer, stop)
+	}
 	now := time.Now()
+	deadline := now.Add(ms(cmp.Or(x.DeadlineMS, 5000)))
 	c := &Call{
-		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(5 * time.Second), CallerDeadline: now.Add(5 * time.Second),
+		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: deadline, CallerDeadline: deadline,
 		Route: &matcher.Route{Type: routeTypes[x.Type], Resumable: x.Type == "stream", MaxAttempts: x.MaxAttempts, TargetLatency: time.Second, Patience: 2 * time.Second},
 	}
 	body := strings.Builder{}
@@ -110,6 +131,11 @@
 		}
 		tr.Replace(list, 0)
 	})
+	if x.ComesMS > 0 {
+		time.AfterFunc(ms(x.ComesMS), func() {
+			tr.Replace(append(list, &tracker.Runner{ID: "later", Service: "s", Address: address, State: tracker.Ready, Slots: 1}), 0)
+		})
+	}
 	budget := &retrier.SharedBudget{Burst: x.Budget}
 	return &Relayer{
 		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
