Answer the requests that are still running when a stop ends

Callers saw: in a planned stop, requests that were still running 0.4 s before the end of the grace period were cut with no answer, among them requests that must not be repeated: they could not tell whether those had run, nor that they had not.

Cause: http.Server.Shutdown waits for handlers, and Close then closes their connections; nothing told the handlers that the time is over. Requests of other nodes had less: their server was shut down only after that of callers, with what was left of the same time. A request in progress that was refused during the stop left its connection open as well.

Ruled out: an earlier end of Shutdown alone (it tells no handler), and moving begun streams to another node (their callers' connections end with this process, so only the callers can go on elsewhere).

Change: 0.7 s before the end of the grace period, the contexts of all requests whose response has not begun end with relayer.ErrStopping. What was sent to a runner, or to another node, gets 504 (unknown); what was not gets 503 with Retry-After (not run); a body that has not come whole, 408. Streams that have begun go on for 0.2 s more and are then broken off visibly.

Failed before the fix (TestRequestsOfAStoppingNodeAreAnswered on the code before): a_request_in_progress_that_must_not_be_repeated: no response 3.602004457s after the begin of the stop: unexpected EOF and in the same way: ..._may_be_repeated, a_stream_without_an_event_yet, a_request_that_waits_for_a_slot (the runner also got it: 2 requests, wanted 1), a_request_whose_body_does_not_come, a_request_of_another_node, a_request_handed_over_to_another_node. With the fix all pass, under -race too.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,12 +18,6 @@
 )
 
 const (
-	// balancerDelay is how long the platform's load balancer may still send new
-	// connections to a node that reports that it is not ready.
-	balancerDelay = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period the requests that
-	// are still running are aborted.
-	stopMargin = 400 * time.Millisecond
 	// smallBodyBytes is the size up to which a body usually arrives together with
 	// its header; such a body is read without a deadline.
 	smallBodyBytes = 32 << 10
@@ -43,6 +38,7 @@
 		ReadHeaderTimeout: headerTimeout + headerTimeoutMargin,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       n.baseContext,
 		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
@@ -61,9 +57,7 @@
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
 	defer requestDurations.UpdateDuration(arrived)
-	if n.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	n.closeIfStopping(w.Header())
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
 	body, failure := n.readBody(w, r, in.ID)
@@ -92,8 +86,10 @@
 	if c := n.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
 		limit = c.Limits.BodyBytes
 	}
+	control := http.NewResponseController(w)
+	stop := context.AfterFunc(n.signals.answers, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
-		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
@@ -112,16 +108,18 @@
 func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery) {
 	control := http.NewResponseController(w)
 	status := 0
+	hasBegun := atomic.Bool{}
+	ctx, cancel := n.withAnswerTime(ctx, &hasBegun)
+	defer cancel()
 	a := &relayer.ResponseWriter{
 		Start: func(code int, h http.Header) {
 			status = code
+			hasBegun.Store(true)
 			header := w.Header()
 			for k, v := range h {
 				header[k] = v
 			}
-			if n.stopping.Load() {
-				header.Set("Connection", "close")
-			}
+			n.closeIfStopping(header)
 			reply(w, d, c, nil)
 			firstByteDurations.UpdateDuration(c.Arrived)
 			w.WriteHeader(code)
@@ -172,28 +170,7 @@
 	if f.Started || f.Reason == responder.ReasonCallerGone {
 		panic(http.ErrAbortHandler)
 	}
+	n.closeIfStopping(w.Header())
 	reply(w, d, c, f)
 	n.Platform.WriteFailure(w, f)
 }
-
-// stop stops the node gracefully. The node reports that it is not ready, removes its
-// entry from the store, accepts requests until the load balancer no longer sends new
-// ones, and finishes the requests in progress before the grace period ends.
-func (n *Node) stop(callers, deliveries *http.Server) {
-	started := time.Now()
-	n.stopping.Store(true)
-	n.Log.Info("node stopping", "requests", n.activeRequests.Load())
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.bounds().GracePeriod-stopMargin))
-	defer cancel()
-	go n.announcer.Withdraw(ctx)
-	time.Sleep(min(balancerDelay, n.bounds().GracePeriod/2))
-	if err := callers.Shutdown(ctx); err != nil {
-		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "error", err)
-		_ = callers.Close()
-	}
-	if err := deliveries.Shutdown(ctx); err != nil {
-		n.Log.Warn("grace period is ending, aborting requests of other nodes", "requests", n.activeRequests.Load(), "error", err)
-		_ = deliveries.Close()
-	}
-	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
-}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -108,6 +108,7 @@
 	startedAt          time.Time
 	hasReceivedRequest atomic.Bool
 	stopping           atomic.Bool
+	signals            stopSignals
 	hasRunnerList      atomic.Bool
 	activeRequests     atomic.Int64
 	indirectProbes     indirectProbes
@@ -188,6 +189,7 @@
 // build creates the components and connects them.
 func (n *Node) build() {
 	s, p := n.Settings, n.Platform
+	n.signals = newStopSignals()
 	if n.Client == nil {
 		n.Client = &requester.Client{}
 	}
--- /dev/null
+++ b/internal/node/server/stop.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"marjorammoor/internal/serving/relayer"
+)
+
+const (
+	// balancerDelay is how long the platform's load balancer may still send new
+	// connections to a node that reports that it is not ready.
+	balancerDelay = 2500 * time.Millisecond
+	// answerMargin is how long before the end of the grace period the requests that are
+	// still running get their final answer. Streams that have begun are broken off
+	// streamMargin before it, and what is open then is closed stopMargin before it.
+	answerMargin = 700 * time.Millisecond
+	streamMargin = 500 * time.Millisecond
+	stopMargin   = 400 * time.Millisecond
+)
+
+// stopTimes are the times of a graceful stop.
+type stopTimes struct {
+	// balancerLeft is when the load balancer surely sends no new connections.
+	balancerLeft time.Time
+	// answers is when requests get their final answer, streams when streams that have begun
+	// are broken off, and connections when all connections are closed.
+	answers, streams, connections time.Time
+}
+
+func newStopTimes(started time.Time, grace time.Duration) *stopTimes {
+	return &stopTimes{
+		balancerLeft: started.Add(min(balancerDelay, grace/2)),
+		answers:      started.Add(grace - answerMargin),
+		streams:      started.Add(grace - streamMargin),
+		connections:  started.Add(grace - stopMargin),
+	}
+}
+
+// stopSignals end the requests that are still running when a node stops.
+type stopSignals struct {
+	// answers ends with the time for final answers, and streams with that for streams.
+	answers, streams       context.Context
+	endAnswers, endStreams context.CancelCauseFunc
+}
+
+func newStopSignals() stopSignals {
+	s := stopSignals{}
+	s.answers, s.endAnswers = context.WithCancelCause(context.Background())
+	s.streams, s.endStreams = context.WithCancelCause(context.Background())
+	return s
+}
+
+// baseContext is the parent of the contexts of all requests.
+func (n *Node) baseContext(net.Listener) context.Context { return n.signals.streams }
+
+// withAnswerTime returns a context that ends when the request has to get its final answer,
+// unless its response has begun by then.
+func (n *Node) withAnswerTime(ctx context.Context, hasBegun *atomic.Bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(n.signals.answers, func() {
+		if !hasBegun.Load() {
+			cancel(context.Cause(n.signals.answers))
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// closeIfStopping makes a response of a stopping node the last one of its connection.
+func (n *Node) closeIfStopping(h http.Header) {
+	if n.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+// stop stops the node gracefully. The node reports that it is not ready, removes its
+// entry from the store, accepts requests until the load balancer no longer sends new
+// ones, and finishes the requests in progress. Each request that it has read gets its
+// final answer before the grace period ends.
+func (n *Node) stop(callers, deliveries *http.Server) {
+	started := time.Now()
+	times := newStopTimes(started, n.bounds().GracePeriod)
+	n.stopping.Store(true)
+	n.Log.Info("node stopping", "requests", n.activeRequests.Load())
+	for _, x := range []struct {
+		at  time.Time
+		end context.CancelCauseFunc
+	}{{times.answers, n.signals.endAnswers}, {times.streams, n.signals.endStreams}} {
+		timer := time.AfterFunc(time.Until(x.at), func() { x.end(relayer.ErrStopping) })
+		defer timer.Stop()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), times.connections)
+	defer cancel()
+	go n.announcer.Withdraw(ctx)
+	time.Sleep(time.Until(times.balancerLeft))
+	if err := callers.Shutdown(ctx); err != nil {
+		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "error", err)
+		_ = callers.Close()
+	}
+	if err := deliveries.Shutdown(ctx); err != nil {
+		n.Log.Warn("grace period is ending, aborting requests of other nodes", "requests", n.activeRequests.Load(), "error", err)
+		_ = deliveries.Close()
+	}
+	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
+}
--- /dev/null
+++ b/internal/node/server/stop_test.go
@@ -0,0 +1,312 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/peer/beater"
+	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/admitter"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/relayer"
+	"marjorammoor/internal/serving/tracker"
+	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
+)
+
+const (
+	stopGrace = 4 * time.Second
+	// promptAnswer is the time in which a request is refused that the node does not take.
+	promptAnswer = 300 * time.Millisecond
+	// slowAnswer is the time after which the "slow" runner answers.
+	slowAnswer = time.Second
+)
+
+// stopCase is one entry of testdata/stops.json: a request at a node that stops. Times are
+// counted from the begin of the stop.
+type stopCase struct {
+	Name   string `json:"name"`
+	Route  string `json:"route"`
+	DialMS int    `json:"dial_ms"`
+	SendMS int    `json:"send_ms"`
+	// FromNode is set if another node hands the request over, and CutOff if this node has to,
+	// since it does not reach the runner.
+	FromNode bool `json:"from_node"`
+	CutOff   bool `json:"cut_off"`
+	// Runner is what the runner does, see stopRunner.
+	Runner string `json:"runner"`
+	// Full is set if another request has the only slot, and Half if the body does not come.
+	Full bool `json:"full"`
+	Half bool `json:"half"`
+
+	Status  int               `json:"status"`
+	Outcome responder.Outcome `json:"outcome"`
+	// Broken is set if the response has to break off.
+	Broken bool `json:"broken"`
+	// Sends is the number of requests that the runner gets.
+	Sends int64 `json:"sends"`
+}
+
+// TestRequestsOfAStoppingNodeAreAnswered guards against requests that a stopping node has read
+// and then cuts off without an answer.
+func TestRequestsOfAStoppingNodeAreAnswered(t *testing.T) {
+	b, err := os.ReadFile("testdata/stops.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []*stopCase{}
+	if err := json.Unmarshal(b, &list); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range list {
+		t.Run(x.Name, func(t *testing.T) {
+			t.Parallel()
+			x.check(t)
+		})
+	}
+}
+
+// stoppingNode is a node with a runner, or another node, that counts what it gets.
+type stoppingNode struct {
+	*Node
+	callers, deliveries net.Listener
+	callerServer        *http.Server
+	deliveryServer      *http.Server
+	sends               atomic.Int64
+}
+
+func (x *stopCase) check(t *testing.T) {
+	n := newStoppingNode(t, x.CutOff)
+	startsAt := time.Now().Add(700 * time.Millisecond)
+	address := n.callers.Addr().String()
+	if x.FromNode {
+		address = n.deliveries.Addr().String()
+	}
+	time.Sleep(time.Until(startsAt.Add(time.Duration(x.DialMS-50) * time.Millisecond)))
+	if x.Full {
+		first := x.dial(t, address)
+		_, _ = io.WriteString(first, x.request("first"))
+		time.Sleep(50 * time.Millisecond)
+	}
+	stopped := make(chan time.Time, 1)
+	time.AfterFunc(time.Until(startsAt), func() {
+		n.stop(n.callerServer, n.deliveryServer)
+		stopped <- time.Now()
+	})
+	time.Sleep(time.Until(startsAt.Add(time.Duration(x.DialMS) * time.Millisecond)))
+	c := x.dial(t, address)
+	time.Sleep(time.Until(startsAt.Add(time.Duration(x.SendMS) * time.Millisecond)))
+	sentAt := time.Now()
+	if _, err := io.WriteString(c, x.request("q")); err != nil {
+		t.Errorf("send: %v", err)
+	}
+	x.checkResponse(t, c, sentAt, startsAt)
+	if after := (<-stopped).Sub(startsAt); after > stopGrace-200*time.Millisecond {
+		t.Errorf("the node stopped after %s, its grace period is %s", after, stopGrace)
+	}
+	if got := n.sends.Load(); got != x.Sends {
+		t.Errorf("the runner got %d requests, wanted %d", got, x.Sends)
+	}
+}
+
+func (x *stopCase) dial(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func (x *stopCase) request(id string) string {
+	length := 4
+	if x.Half {
+		length = 8
+	}
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nRunner: %s\r\nX-Delivery-Age-Ms: 0\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Node: n2\r\nContent-Length: %d\r\n\r\nbody",
+		x.Route, id, x.Runner, length)
+}
+
+func (x *stopCase) checkResponse(t *testing.T, c net.Conn, sentAt, startsAt time.Time) {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Errorf("no response %s after the begin of the stop: %v", time.Since(startsAt), err)
+		return
+	}
+	defer response.Body.Close() //nolint:errcheck
+	body, err := io.ReadAll(response.Body)
+	endedAt := time.Now()
+	if response.StatusCode != x.Status || (err != nil) != x.Broken {
+		t.Errorf("status %d, error %v, body %q; wanted status %d, broken off %t", response.StatusCode, err, body, x.Status, x.Broken)
+	}
+	if got := response.Header.Get("Outcome"); got != string(x.Outcome) {
+		t.Errorf("outcome %q, wanted %q", got, x.Outcome)
+	}
+	if x.Route != "stream" && !response.Close {
+		t.Error("the response leaves the connection open")
+	}
+	if x.Status == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
+		t.Error("the refusal does not say when to come back")
+	}
+	if x.Status == http.StatusServiceUnavailable && x.Sends == 0 && endedAt.Sub(sentAt) > promptAnswer {
+		t.Errorf("refused after %s", endedAt.Sub(sentAt))
+	}
+	if x.Broken && endedAt.Sub(startsAt) < stopGrace-600*time.Millisecond {
+		t.Errorf("broken off %s after the begin of the stop", endedAt.Sub(startsAt))
+	}
+}
+
+// newStoppingNode returns a node that serves. If it is cut off from its runner, another node
+// takes its requests.
+func newStoppingNode(t *testing.T, isCutOff bool) *stoppingNode {
+	n := &stoppingNode{Node: &Node{
+		Settings: &Settings{Name: "n1", DataCenter: "dc", Bounds: Bounds{GracePeriod: stopGrace, RetryBurst: 100, RetryWindow: time.Second}},
+		Log:      slog.New(slog.DiscardHandler),
+		Platform: &Platform{
+			Store:        &follower.Store{Delete: func(context.Context, string, string) error { return nil }},
+			Eras:         &sequencer.Eras{},
+			Wire:         stopWire(),
+			ParseRequest: parseStopRequest,
+			WriteFailure: func(w http.ResponseWriter, f *responder.Failure) {
+				w.Header().Set("Outcome", string(f.Outcome))
+				if f.RetryAfter > 0 {
+					w.Header().Set("Retry-After", f.RetryAfter.String())
+				}
+				w.WriteHeader(f.Status)
+			},
+		},
+	}}
+	n.build()
+	runner := httptest.NewServer(n.stopRunner())
+	t.Cleanup(runner.CloseClientConnections)
+	address := strings.TrimPrefix(runner.URL, "http://")
+	n.tracker.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	n.tracker.Replace([]*tracker.Runner{{ID: "r", Service: "s", Address: address, State: tracker.Ready, Slots: 1}}, 0)
+	n.balancer.Reach = func(balancer.Target) (balancer.Reach, time.Time) {
+		if isCutOff {
+			return balancer.CutOff, time.Time{}
+		}
+		return balancer.InReach, time.Time{}
+	}
+	n.deliverer.Peers = func(string, string) []deliverer.Peer {
+		return []deliverer.Peer{{Name: "n2", Address: address}}
+	}
+	n.hearPeer(t)
+	n.catalog.Store(stopCatalog())
+	n.callerServer, n.deliveryServer = n.Node.callerServer(), n.Node.deliveryServer()
+	n.callers, n.deliveries = listenForStop(t), listenForStop(t)
+	go func() { _ = n.callerServer.Serve(n.callers) }()
+	go func() { _ = n.deliveryServer.Serve(n.deliveries) }()
+	return n
+}
+
+// hearPeer makes the node hear from another node, whose requests it then serves.
+func (n *stoppingNode) hearPeer(t *testing.T) {
+	n.beater.Fill, n.beater.OnHeartbeat = func(*beater.Heartbeat, string, bool) {}, nil
+	n.beater.Interval = 10 * time.Millisecond
+	peer := &beater.Beater{Self: "n2", DataCenter: "dc", Interval: 10 * time.Millisecond, Fill: n.beater.Fill, Log: n.Log}
+	addresses := []string{}
+	for range 2 {
+		l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, l.LocalAddr().String())
+		_ = l.Close()
+	}
+	peer.AddPeer("n1", addresses[0])
+	for i, b := range []*beater.Beater{n.beater, peer} {
+		go func() {
+			if err := b.Run(t.Context(), addresses[i]); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+}
+
+func listenForStop(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// stopCatalog has routes that allow more time than is left, one that needs little and one that
+// needs more than the grace period.
+func stopCatalog() *matcher.Catalog {
+	c := &matcher.Catalog{Version: 1, Services: map[string]*matcher.Service{"s": {Name: "s"}}}
+	routes := []*matcher.Route{}
+	for _, r := range []matcher.Route{
+		{Name: "post", Type: matcher.NonIdempotent, Timeout: 20 * time.Second, TargetLatency: 300 * time.Millisecond},
+		{Name: "check", Type: matcher.Idempotent, Timeout: 20 * time.Second, TargetLatency: 300 * time.Millisecond},
+		{Name: "stream", Type: matcher.Stream, Resumable: true, Timeout: 20 * time.Second, TargetLatency: 300 * time.Millisecond},
+		{Name: "brief", Type: matcher.NonIdempotent, Timeout: 600 * time.Millisecond, TargetLatency: 100 * time.Millisecond},
+		{Name: "lengthy", Type: matcher.NonIdempotent, Timeout: 20 * time.Second, TargetLatency: 3 * time.Second},
+	} {
+		r.Host, r.PathPrefix, r.Targets, r.MaxAttempts = "h", "/"+r.Name+"/", []matcher.Target{{Service: "s", Weight: 1}}, 2
+		routes = append(routes, &r)
+	}
+	c.AddRoutes(routes)
+	return c
+}
+
+func parseStopRequest(r *http.Request) *admitter.Incoming {
+	return &admitter.Incoming{ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, Header: r.Header}
+}
+
+func stopWire() *relayer.Wire {
+	return &relayer.Wire{
+		Header: func(c *relayer.Call, _ *tracker.Target, _ time.Duration, _ string) http.Header {
+			return http.Header{"Id": {c.ID}, "Runner": {c.Header.Get("Runner")}}
+		},
+		Echo: "Id",
+		Inspect: func(_ int, h http.Header) relayer.Inspection {
+			return relayer.Inspection{Verified: h.Get("Signed") != ""}
+		},
+		EndToEnd: func(h http.Header) http.Header { return h.Clone() },
+	}
+}
+
+// stopRunner returns a runner that answers at once ("ok"), after slowAnswer ("slow"), never
+// ("silent"), or with events, without end or three.
+func (n *stoppingNode) stopRunner() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.sends.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		events := 3
+		switch r.Header.Get("Runner") {
+		case "silent":
+			<-r.Context().Done()
+			return
+		case "slow":
+			time.Sleep(slowAnswer)
+			return
+		case "ok":
+			return
+		case "events":
+			events = 1 << 30
+		}
+		for i := 1; i <= events && r.Context().Err() == nil; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -368,6 +368,9 @@
 	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
 		return blockedFailure(c, outcome, cause)
 	}
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return stopFailure(c, outcome)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status := http.StatusGatewayTimeout
 		if outcome == responder.NotRun {
