Refuse late requests of a stopping node instead of dropping or taking them

Callers saw: a request that came late in the grace period of a planned stop, on a connection opened before, was read and its connection closed without an answer. A request that another node handed over then was taken and passed on to a runner, as long as a request of a caller was still running, and could not be finished.

Cause: 2.5 s after SIGTERM, stop called http.Server.Shutdown. The server for other nodes was shut down after that of callers only, so until the last caller's request had ended it took everything.

Ruled out: that a caller's request is taken and passed on after 2.5 s: Shutdown drops it.

Change: the servers go on serving until no connection is open, or to the end; after 2.5 s idle connections are closed, and a request is taken only if its whole time ends before the time of final answers. Others get 503 with Retry-After and Connection: close at once. Both servers stop together. A connection without a request does not hold the stop longer than before: the time-out for headers ends it.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -39,6 +39,7 @@
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       n.baseContext,
+		ConnState:         n.countConnections,
 		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
@@ -67,6 +68,9 @@
 	}
 	in.Body = body
 	call, failure := n.admitter.Admit(in)
+	if failure == nil {
+		failure = n.stopRefusal(call)
+	}
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -66,7 +66,7 @@
 		m.all = append(m.all, name)
 		m.unreached[name] = unreached
 	}
-	if n.reachesStore() && !n.stopping.Load() {
+	if n.reachesStore() && !n.isStopping() {
 		add(n.Settings.Name, n.Settings.DataCenter, n.observer.Groups())
 	}
 	for _, p := range n.beater.Live() {
@@ -83,7 +83,7 @@
 // runners when the data centre is cut off from the others. Nodes that have lost their links to
 // its runners manage it only if all have.
 func (n *Node) owns(domain, dataCenter string) bool {
-	if n.stopping.Load() || !n.reachesStore() || time.Since(n.startedAt) < peerDiscoveryTime {
+	if n.isStopping() || !n.reachesStore() || time.Since(n.startedAt) < peerDiscoveryTime {
 		return false
 	}
 	m := n.nodesWithStore()
@@ -176,7 +176,7 @@
 // fillHeartbeat sets the content of a heartbeat to the nodes of a data centre. A
 // limited heartbeat has only the requests in flight at that data centre's runners.
 func (n *Node) fillHeartbeat(b *beater.Heartbeat, dataCenter string, limited bool) {
-	b.Leaving = n.stopping.Load()
+	b.Leaving = n.isStopping()
 	b.ReachesStore = n.reachesStore()
 	b.StoreAgeMS = n.runners.Age().Milliseconds()
 	b.Era, b.CatalogVersion = n.Platform.Eras.Newest(), n.catalogVersion()
--- a/internal/node/server/ready.go
+++ b/internal/node/server/ready.go
@@ -10,7 +10,7 @@
 // isReady reports whether the node can serve: it has a runner list and a recent
 // configuration and is not stopping.
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.catalog.Load() != nil && n.hasRunnerList.Load() && n.catalogs.Age() < maxReadyCatalogAge
+	return !n.isStopping() && n.catalog.Load() != nil && n.hasRunnerList.Load() && n.catalogs.Age() < maxReadyCatalogAge
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/relayer"
+	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -20,6 +22,8 @@
 	answerMargin = 700 * time.Millisecond
 	streamMargin = 500 * time.Millisecond
 	stopMargin   = 400 * time.Millisecond
+	// drainCheckInterval is the time between two checks whether connections are open.
+	drainCheckInterval = 20 * time.Millisecond
 )
 
 // stopTimes are the times of a graceful stop.
@@ -54,6 +58,16 @@
 	return s
 }
 
+// schedule ends the signals at their times, until the returned function is called.
+func (s *stopSignals) schedule(t *stopTimes) (cancel func()) {
+	answers := time.AfterFunc(time.Until(t.answers), func() { s.endAnswers(relayer.ErrStopping) })
+	streams := time.AfterFunc(time.Until(t.streams), func() { s.endStreams(relayer.ErrStopping) })
+	return func() {
+		answers.Stop()
+		streams.Stop()
+	}
+}
+
 // baseContext is the parent of the contexts of all requests.
 func (n *Node) baseContext(net.Listener) context.Context { return n.signals.streams }
 
@@ -72,13 +86,37 @@
 	}
 }
 
+// isStopping reports whether the node stops.
+func (n *Node) isStopping() bool { return n.stopTimes.Load() != nil }
+
 // closeIfStopping makes a response of a stopping node the last one of its connection.
 func (n *Node) closeIfStopping(h http.Header) {
-	if n.stopping.Load() {
+	if n.isStopping() {
 		h.Set("Connection", "close")
 	}
 }
 
+// stopRefusal returns the failure for a call that a stopping node does not take, or nil. Once
+// the load balancer has moved on, the node takes only calls that surely end in time.
+func (n *Node) stopRefusal(c *relayer.Call) *responder.Failure {
+	times := n.stopTimes.Load()
+	if times == nil || time.Now().Before(times.balancerLeft) || !c.Deadline.After(times.answers) {
+		return nil
+	}
+	return relayer.StopFailure(c, responder.NotRun)
+}
+
+// countConnections counts the open connections of callers and of other nodes.
+func (n *Node) countConnections(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n.openConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.openConnections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 // stop stops the node gracefully. The node reports that it is not ready, removes its
 // entry from the store, accepts requests until the load balancer no longer sends new
 // ones, and finishes the requests in progress. Each request that it has read gets its
@@ -86,26 +124,32 @@
 func (n *Node) stop(callers, deliveries *http.Server) {
 	started := time.Now()
 	times := newStopTimes(started, n.bounds().GracePeriod)
-	n.stopping.Store(true)
+	n.stopTimes.Store(times)
 	n.Log.Info("node stopping", "requests", n.activeRequests.Load())
-	for _, x := range []struct {
-		at  time.Time
-		end context.CancelCauseFunc
-	}{{times.answers, n.signals.endAnswers}, {times.streams, n.signals.endStreams}} {
-		timer := time.AfterFunc(time.Until(x.at), func() { x.end(relayer.ErrStopping) })
-		defer timer.Stop()
-	}
+	defer n.signals.schedule(times)()
 	ctx, cancel := context.WithDeadline(context.Background(), times.connections)
 	defer cancel()
 	go n.announcer.Withdraw(ctx)
 	time.Sleep(time.Until(times.balancerLeft))
-	if err := callers.Shutdown(ctx); err != nil {
-		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "error", err)
-		_ = callers.Close()
+	servers := []*http.Server{callers, deliveries}
+	for _, s := range servers {
+		// This closes idle connections. Shutdown would also drop requests that come later
+		// on the others.
+		s.SetKeepAlivesEnabled(false)
+	}
+	n.awaitConnections(ctx)
+	if open := n.openConnections.Load(); open > 0 {
+		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "connections", open)
 	}
-	if err := deliveries.Shutdown(ctx); err != nil {
-		n.Log.Warn("grace period is ending, aborting requests of other nodes", "requests", n.activeRequests.Load(), "error", err)
-		_ = deliveries.Close()
+	for _, s := range servers {
+		_ = s.Close()
 	}
 	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
 }
+
+// awaitConnections waits until no connection is open or ctx ends.
+func (n *Node) awaitConnections(ctx context.Context) {
+	for n.openConnections.Load() > 0 && ctx.Err() == nil {
+		repeater.Sleep(ctx, drainCheckInterval)
+	}
+}
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -49,8 +49,10 @@
 	CutOff   bool `json:"cut_off"`
 	// Runner is what the runner does, see stopRunner.
 	Runner string `json:"runner"`
-	// Full is set if another request has the only slot, and Half if the body does not come.
+	// Busy is set if a request of a caller is in progress, and Full if it has the only slot.
+	Busy bool `json:"busy"`
 	Full bool `json:"full"`
+	// Half is set if the body does not come.
 	Half bool `json:"half"`
 
 	Status  int               `json:"status"`
@@ -90,15 +92,15 @@
 }
 
 func (x *stopCase) check(t *testing.T) {
-	n := newStoppingNode(t, x.CutOff)
+	n := newStoppingNode(t, x)
 	startsAt := time.Now().Add(700 * time.Millisecond)
 	address := n.callers.Addr().String()
 	if x.FromNode {
 		address = n.deliveries.Addr().String()
 	}
 	time.Sleep(time.Until(startsAt.Add(time.Duration(x.DialMS-50) * time.Millisecond)))
-	if x.Full {
-		first := x.dial(t, address)
+	if x.Busy || x.Full {
+		first := x.dial(t, n.callers.Addr().String())
 		_, _ = io.WriteString(first, x.request("first"))
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -162,7 +164,7 @@
 	if x.Status == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
 		t.Error("the refusal does not say when to come back")
 	}
-	if x.Status == http.StatusServiceUnavailable && x.Sends == 0 && endedAt.Sub(sentAt) > promptAnswer {
+	if x.Status == http.StatusServiceUnavailable && !x.Full && endedAt.Sub(sentAt) > promptAnswer {
 		t.Errorf("refused after %s", endedAt.Sub(sentAt))
 	}
 	if x.Broken && endedAt.Sub(startsAt) < stopGrace-600*time.Millisecond {
@@ -170,9 +172,9 @@
 	}
 }
 
-// newStoppingNode returns a node that serves. If it is cut off from its runner, another node
-// takes its requests.
-func newStoppingNode(t *testing.T, isCutOff bool) *stoppingNode {
+// newStoppingNode returns a node that serves. If the case cuts it off from its runner, another
+// node takes its requests.
+func newStoppingNode(t *testing.T, x *stopCase) *stoppingNode {
 	n := &stoppingNode{Node: &Node{
 		Settings: &Settings{Name: "n1", DataCenter: "dc", Bounds: Bounds{GracePeriod: stopGrace, RetryBurst: 100, RetryWindow: time.Second}},
 		Log:      slog.New(slog.DiscardHandler),
@@ -194,10 +196,14 @@
 	runner := httptest.NewServer(n.stopRunner())
 	t.Cleanup(runner.CloseClientConnections)
 	address := strings.TrimPrefix(runner.URL, "http://")
+	slots := 2
+	if x.Full {
+		slots = 1
+	}
 	n.tracker.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
-	n.tracker.Replace([]*tracker.Runner{{ID: "r", Service: "s", Address: address, State: tracker.Ready, Slots: 1}}, 0)
+	n.tracker.Replace([]*tracker.Runner{{ID: "r", Service: "s", Address: address, State: tracker.Ready, Slots: slots}}, 0)
 	n.balancer.Reach = func(balancer.Target) (balancer.Reach, time.Time) {
-		if isCutOff {
+		if x.CutOff {
 			return balancer.CutOff, time.Time{}
 		}
 		return balancer.InReach, time.Time{}
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -369,7 +369,7 @@
 		return blockedFailure(c, outcome, cause)
 	}
 	if errors.Is(context.Cause(ctx), ErrStopping) {
-		return stopFailure(c, outcome)
+		return StopFailure(c, outcome)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status := http.StatusGatewayTimeout
--- a/internal/serving/relayer/stop.go
+++ b/internal/serving/relayer/stop.go
@@ -16,8 +16,8 @@
 // call is done.
 var ErrStopping = errors.New("the node is stopping")
 
-// stopFailure returns the failure for a call that a stopping node does not finish.
-func stopFailure(c *Call, outcome responder.Outcome) *responder.Failure {
+// StopFailure returns the failure for a call that a stopping node does not finish.
+func StopFailure(c *Call, outcome responder.Outcome) *responder.Failure {
 	if outcome != responder.NotRun {
 		return c.failure(http.StatusGatewayTimeout, outcome, responder.ReasonShuttingDown, ErrStopping.Error())
 	}
