Refuse what a stopping node cannot finish as soon as that is known

Callers saw: a request that came to a stopping node before the load balancer had moved on, and that takes longer than the node has left, was sent to a runner and got 504 (unknown) at the end. If it must not be repeated, its caller could not go elsewhere.

Cause: nothing compared the time left with the time that a request takes, neither at its arrival nor when it got a slot, nor before it was sent again. The wait for a slot was a share of the request's whole time.

Change: while the node stops, its end is the deadline of what waits for slots and retries. A call that takes longer than what is left, by the engine's own figures for a request alone (prompt and usual answer), or by the route's target latency where there is no engine, is refused: 503, not run. These are lower bounds, so nothing is refused that the figures say could end; slow runners are not foreseen.

--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -207,7 +207,7 @@
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -89,6 +89,15 @@
 // isStopping reports whether the node stops.
 func (n *Node) isStopping() bool { return n.stopTimes.Load() != nil }
 
+// stopsAt returns when requests get their final answer because the node stops, or the zero
+// time.
+func (n *Node) stopsAt() time.Time {
+	if times := n.stopTimes.Load(); times != nil {
+		return times.answers
+	}
+	return time.Time{}
+}
+
 // closeIfStopping makes a response of a stopping node the last one of its connection.
 func (n *Node) closeIfStopping(h http.Header) {
 	if n.isStopping() {
--- a/internal/serving/estimator/estimator.go
+++ b/internal/serving/estimator/estimator.go
@@ -39,6 +39,20 @@
 	return scale(reading+time.Duration(steps)*Step(e, 1, promptTokens), m)
 }
 
+// Response returns how long an engine without other requests takes until the last event of
+// a response, or 0 if the engine is nil. The response is as long as usual, or shorter if the
+// request allows no more tokens.
+func Response(e *matcher.Engine, m *matcher.Model, promptTokens, maxOutput int) time.Duration {
+	if e == nil {
+		return 0
+	}
+	tokens := e.UsualAnswer
+	if maxOutput > 0 {
+		tokens = min(tokens, maxOutput)
+	}
+	return FirstEvent(e, m, promptTokens) + scale(time.Duration(tokens)*Step(e, 1, promptTokens), m)
+}
+
 // Step returns how long one step of a batch takes that writes requests with the given
 // tokens of context in all.
 func Step(e *matcher.Engine, requests, contextTokens int) time.Duration {
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -61,7 +61,10 @@
 	Leaving func(t *tracker.Target)
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retrier.SharedBudget
-	Log    *slog.Logger
+	// StopsAt returns when the node answers the calls that are still running because it
+	// stops, or the zero time; nil means that it does not stop.
+	StopsAt func() time.Time
+	Log     *slog.Logger
 }
 
 // Serve forwards a call until it succeeds or must not be retried. It returns the
@@ -130,9 +133,9 @@
 		maxSends += extraRefusedSends
 	}
 	switch {
-	case ctx.Err() != nil, time.Until(c.Deadline) < minRemaining:
+	case ctx.Err() != nil, time.Until(r.deadline(c)) < minRemaining:
 		return false
-	case !isRetryableReason(f.Reason):
+	case !isRetryableReason(f.Reason), f.Reason == responder.ReasonShuttingDown && f.Outcome == responder.NotRun:
 		return false
 	case f.Reason == responder.ReasonDialFailed:
 		return len(c.tried) <= maxDials
--- a/internal/serving/relayer/slot.go
+++ b/internal/serving/relayer/slot.go
@@ -27,8 +27,11 @@
 // acquireSlot acquires a slot at a target, waiting for it if necessary.
 func (r *Relayer) acquireSlot(ctx context.Context, c *Call) (*balancer.Slot, error) {
 	now := time.Now()
-	remaining := c.Deadline.Sub(now)
-	if remaining < minRemaining {
+	remaining := r.deadline(c).Sub(now)
+	switch {
+	case r.cannotFinish(c, now):
+		return nil, ErrStopping
+	case remaining < minRemaining:
 		return nil, errNoTime
 	}
 	model, _ := c.Engine.Model(c.Model)
@@ -45,6 +48,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("acquire a slot: %w", err)
 	}
+	if r.cannotFinish(c, time.Now()) {
+		s.Release()
+		return nil, ErrStopping
+	}
 	return s, nil
 }
 
@@ -53,6 +60,8 @@
 // slotFailure returns the failure for a call that gets no slot.
 func slotFailure(ctx context.Context, c *Call, err error) *responder.Failure {
 	switch {
+	case errors.Is(err, ErrStopping):
+		return StopFailure(c, responder.NotRun)
 	case errors.Is(err, errNoTime):
 		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonDeadline, err.Error())
 	case errors.Is(err, balancer.ErrPaused):
--- a/internal/serving/relayer/stop.go
+++ b/internal/serving/relayer/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/estimator"
 )
 
 // stopRetryAfter is the Retry-After time for callers of a node that stops. Other nodes can
@@ -25,3 +26,34 @@
 	f.RetryAfter = stopRetryAfter
 	return f
 }
+
+// deadline returns when this node stops working on a call: at its deadline, or before it if
+// the node stops.
+func (r *Relayer) deadline(c *Call) time.Time {
+	if r.StopsAt == nil {
+		return c.Deadline
+	}
+	if at := r.StopsAt(); !at.IsZero() && at.Before(c.Deadline) {
+		return at
+	}
+	return c.Deadline
+}
+
+// cannotFinish reports whether the node stops before a call can be done.
+func (r *Relayer) cannotFinish(c *Call, now time.Time) bool {
+	end := r.deadline(c)
+	return end.Before(c.Deadline) && end.Sub(now) < c.expectedTime()
+}
+
+// expectedTime returns how long a call takes that is sent now to a runner without other
+// requests. Of a stream that has begun, only the time until it goes on is known.
+func (c *Call) expectedTime() time.Duration {
+	if c.Engine == nil {
+		return c.Route.TargetLatency
+	}
+	model, _ := c.Engine.Model(c.Model)
+	if !c.Timing.lastWrite.IsZero() {
+		return estimator.FirstEvent(c.Engine, model, c.PromptTokens)
+	}
+	return estimator.Response(c.Engine, model, c.PromptTokens, c.MaxOutput)
+}
