Give runners of a stopping node no more time than the node has

Callers saw: 504 (unknown) for requests that a runner still had in its queue when the node stopped, although the runner could have said that they have not run.

Cause: the time that a runner is told was counted to the caller's deadline, and the node answers before that.

Change: while the node stops, requests other than streams are given the time until the node's final answers. A runner that finds it over in its queue refuses, which is passed on as not run. Streams keep theirs, since those that have begun go on.

--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -61,6 +62,8 @@
 	Broken bool `json:"broken"`
 	// Sends is the number of requests that the runner gets.
 	Sends int64 `json:"sends"`
+	// LeftMS is the most time that the runner is given, if it is not 0.
+	LeftMS int64 `json:"left_ms"`
 }
 
 // TestRequestsOfAStoppingNodeAreAnswered guards against requests that a stopping node has read
@@ -88,7 +91,7 @@
 	callers, deliveries net.Listener
 	callerServer        *http.Server
 	deliveryServer      *http.Server
-	sends               atomic.Int64
+	sends, leftMS       atomic.Int64
 }
 
 func (x *stopCase) check(t *testing.T) {
@@ -123,6 +126,9 @@
 	if got := n.sends.Load(); got != x.Sends {
 		t.Errorf("the runner got %d requests, wanted %d", got, x.Sends)
 	}
+	if got := n.leftMS.Load(); x.LeftMS > 0 && got > x.LeftMS {
+		t.Errorf("the runner was given %d ms, wanted at most %d", got, x.LeftMS)
+	}
 }
 
 func (x *stopCase) dial(t *testing.T, address string) net.Conn {
@@ -277,8 +283,8 @@
 
 func stopWire() *relayer.Wire {
 	return &relayer.Wire{
-		Header: func(c *relayer.Call, _ *tracker.Target, _ time.Duration, _ string) http.Header {
-			return http.Header{"Id": {c.ID}, "Runner": {c.Header.Get("Runner")}}
+		Header: func(c *relayer.Call, _ *tracker.Target, remaining time.Duration, _ string) http.Header {
+			return http.Header{"Id": {c.ID}, "Runner": {c.Header.Get("Runner")}, "Left": {strconv.FormatInt(remaining.Milliseconds(), 10)}}
 		},
 		Echo: "Id",
 		Inspect: func(_ int, h http.Header) relayer.Inspection {
@@ -293,6 +299,8 @@
 func (n *stoppingNode) stopRunner() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.sends.Add(1)
+		left, _ := strconv.ParseInt(r.Header.Get("Left"), 10, 64)
+		n.leftMS.Store(left)
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signed", "1")
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -213,7 +213,7 @@
 		slot.OnStall(func(cause error) { cancel(cause) })
 	}
 	c.tried = append(c.tried, slot.Target.ID)
-	remaining := time.Until(c.CallerDeadline)
+	remaining := time.Until(r.runnerDeadline(c))
 	c.stage = StageConnection
 	request := &requester.Request{
 		Method: c.Method, Address: slot.Target.Address, Target: c.Target, Host: c.Host, Body: c.Body,
--- a/internal/serving/relayer/stop.go
+++ b/internal/serving/relayer/stop.go
@@ -7,6 +7,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/estimator"
+	"marjorammoor/internal/serving/matcher"
 )
 
 // stopRetryAfter is the Retry-After time for callers of a node that stops. Other nodes can
@@ -29,14 +30,25 @@
 
 // deadline returns when this node stops working on a call: at its deadline, or before it if
 // the node stops.
-func (r *Relayer) deadline(c *Call) time.Time {
+func (r *Relayer) deadline(c *Call) time.Time { return r.endWithStop(c.Deadline) }
+
+// runnerDeadline returns when the answer of a runner is of no use any more. A stream that has
+// begun may go on for as long as the node runs.
+func (r *Relayer) runnerDeadline(c *Call) time.Time {
+	if c.Route.Type == matcher.Stream {
+		return c.CallerDeadline
+	}
+	return r.endWithStop(c.CallerDeadline)
+}
+
+func (r *Relayer) endWithStop(deadline time.Time) time.Time {
 	if r.StopsAt == nil {
-		return c.Deadline
+		return deadline
 	}
-	if at := r.StopsAt(); !at.IsZero() && at.Before(c.Deadline) {
+	if at := r.StopsAt(); !at.IsZero() && at.Before(deadline) {
 		return at
 	}
-	return c.Deadline
+	return deadline
 }
 
 // cannotFinish reports whether the node stops before a call can be done.
