Hand a request to a third node if the second one stops

Callers saw: a node that has lost its own links to runners refused a request (503) as soon as the node that it was handed to had begun to stop, although a third one could have taken it.

Cause: handOver goes on to the next node only if the one before reaches no runner either. A node that stops now refuses what it cannot finish, and others are not told of the stop before its next heartbeat.

Change: a refusal because the other node stops, with the outcome not run, leads to the next node too.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -45,13 +45,19 @@
 		r.Log.Info("request is handed over", "request", c.ID, "service", c.Service, "peer", peer.Name, "remote", peer.IsRemote,
 			"peer_load", peer.Load, "attempts", c.attempts, "last_event", s.lastID)
 		failure = r.sendToPeer(ctx, c, a, s, peer)
-		if failure == nil || failure.Reason != responder.ReasonUnreachable || ctx.Err() != nil {
+		if failure == nil || !isLeftToOthers(failure) || ctx.Err() != nil {
 			return failure
 		}
 	}
 	return failure
 }
 
+// isLeftToOthers reports whether another node has not taken a call for a reason that others
+// need not have: it reaches no runner either, or stops.
+func isLeftToOthers(f *responder.Failure) bool {
+	return f.Reason == responder.ReasonUnreachable || f.Reason == responder.ReasonShuttingDown && f.Outcome == responder.NotRun
+}
+
 func unreachableFailure(c *Call) *responder.Failure {
 	f := c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonUnreachable, "this node does not reach the runners, and no other node can take the request")
 	f.RetryAfter = unreachableRetryAfter
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -115,6 +115,8 @@
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: replicas_full\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 200\r\nContent-Length: 0\r\n")
 	case "unreachable":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: runners_unreachable\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
+	case "stopping":
+		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: shutting_down\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 100\r\nContent-Length: 0\r\n")
 	case "unknown":
 		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
 	case "unknown_after_two":
