Do not pass on a request whose connection was just closed as idle

Timeline: 10.446 s the request is sent on a kept connection; at 10.502 s, 2.5 s after SIGTERM, the node closes idle connections and starts to serve it; it reaches a runner, and is cancelled 1 ms later: "caller_gone".

Cause: net/http counts a connection as idle until it has read and parsed a whole header. SetKeepAlivesEnabled(false) closes it then, and the request goes on to its handler on a closed connection. Shutdown closes it as well, but drops the request.

Change: idle connections are ended by a read deadline in the past. The server closes them by itself if nothing has arrived, and goes on with a request that it has read: the deadline is taken back before the handler starts. Such a request is answered.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -39,7 +39,7 @@
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       n.baseContext,
-		ConnState:         n.countConnections,
+		ConnState:         n.connections.record,
 		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -18,7 +18,7 @@
 func (n *Node) deliveryServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: n.baseContext, ConnState: n.countConnections,
+		BaseContext: n.baseContext, ConnState: n.connections.record,
 	}
 }
 
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -108,14 +108,14 @@
 	startedAt          time.Time
 	hasReceivedRequest atomic.Bool
 	// stopTimes is nil unless the node stops.
-	stopTimes       atomic.Pointer[stopTimes]
-	signals         stopSignals
-	hasRunnerList   atomic.Bool
-	activeRequests  atomic.Int64
-	openConnections atomic.Int64
-	indirectProbes  indirectProbes
-	runnerSummary   runnerSummary
-	sights          storeSights
+	stopTimes      atomic.Pointer[stopTimes]
+	signals        stopSignals
+	hasRunnerList  atomic.Bool
+	activeRequests atomic.Int64
+	connections    openConnections
+	indirectProbes indirectProbes
+	runnerSummary  runnerSummary
+	sights         storeSights
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -9,7 +9,6 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/relayer"
-	"marjorammoor/internal/timing/repeater"
 )
 
 const (
@@ -22,8 +21,6 @@
 	answerMargin = 700 * time.Millisecond
 	streamMargin = 500 * time.Millisecond
 	stopMargin   = 400 * time.Millisecond
-	// drainCheckInterval is the time between two checks whether connections are open.
-	drainCheckInterval = 20 * time.Millisecond
 )
 
 // stopTimes are the times of a graceful stop.
@@ -115,17 +112,6 @@
 	return relayer.StopFailure(c, responder.NotRun)
 }
 
-// countConnections counts the open connections of callers and of other nodes.
-func (n *Node) countConnections(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		n.openConnections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		n.openConnections.Add(-1)
-	case http.StateActive, http.StateIdle:
-	}
-}
-
 // stop stops the node gracefully. The node reports that it is not ready, removes its
 // entry from the store, accepts requests until the load balancer no longer sends new
 // ones, and finishes the requests in progress. Each request that it has read gets its
@@ -140,25 +126,11 @@
 	defer cancel()
 	go n.announcer.Withdraw(ctx)
 	time.Sleep(time.Until(times.balancerLeft))
-	servers := []*http.Server{callers, deliveries}
-	for _, s := range servers {
-		// This closes idle connections. Shutdown would also drop requests that come later
-		// on the others.
-		s.SetKeepAlivesEnabled(false)
-	}
-	n.awaitConnections(ctx)
-	if open := n.openConnections.Load(); open > 0 {
+	n.connections.awaitEnd(ctx)
+	if open := n.connections.endIdle(); open > 0 {
 		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "connections", open)
 	}
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	_ = callers.Close()
+	_ = deliveries.Close()
 	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
 }
-
-// awaitConnections waits until no connection is open or ctx ends.
-func (n *Node) awaitConnections(ctx context.Context) {
-	for n.openConnections.Load() > 0 && ctx.Err() == nil {
-		repeater.Sleep(ctx, drainCheckInterval)
-	}
-}
