--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -107,12 +107,15 @@
 
 	startedAt          time.Time
 	hasReceivedRequest atomic.Bool
-	stopping           atomic.Bool
-	hasRunnerList      atomic.Bool
-	activeRequests     atomic.Int64
-	indirectProbes     indirectProbes
-	runnerSummary      runnerSummary
-	sights             storeSights
+	// stopTimes is nil unless the node stops.
+	stopTimes      atomic.Pointer[stopTimes]
+	signals        stopSignals
+	hasRunnerList  atomic.Bool
+	activeRequests atomic.Int64
+	connections    openConnections
+	indirectProbes indirectProbes
+	runnerSummary  runnerSummary
+	sights         storeSights
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
@@ -151,10 +154,10 @@
 	if err != nil {
 		return err
 	}
-	callerServer, deliveryServer := n.callerServer(), n.deliveryServer()
+	callers, deliveries := &port{n.callerServer(), callerListener}, &port{n.deliveryServer(), deliveryListener}
 	go serve(readyServer, readyListener, failed)
-	go serve(callerServer, callerListener, failed)
-	go serve(deliveryServer, deliveryListener, failed)
+	go callers.serve(failed)
+	go deliveries.serve(failed)
 	if n.Settings.MetricsAddress != "" {
 		if l, err := n.listen(n.Settings.MetricsAddress); err != nil {
 			n.Log.Warn("cannot listen on metrics address, running without metrics", "error", err)
@@ -167,7 +170,7 @@
 	case err := <-failed:
 		return fmt.Errorf("run the node: %w", err)
 	}
-	n.stop(callerServer, deliveryServer)
+	n.stop(callers, deliveries)
 	return nil
 }
 
@@ -188,6 +191,7 @@
 // build creates the components and connects them.
 func (n *Node) build() {
 	s, p := n.Settings, n.Platform
+	n.signals = newStopSignals()
 	if n.Client == nil {
 		n.Client = &requester.Client{}
 	}
@@ -203,7 +207,7 @@
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, Log: n.Log}
+	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -69,7 +69,7 @@
 	if err := at.guard.Start(breaker.Runner{ID: target.ID, Address: target.Address, BootTime: target.BootTime}); err != nil {
 		return blockedFailure(c, responder.NotRun, err)
 	}
-	remaining := time.Until(c.CallerDeadline)
+	remaining := time.Until(r.runnerDeadline(c))
 	c.stage = StageConnection
 	request := &requester.Request{
 		Method: c.Method, Address: target.Address, Target: c.Target, Host: c.Host, Body: c.Body,
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -51,13 +51,19 @@
 			return at, nil
 		}
 		at.close()
-		if failure.Reason != responder.ReasonUnreachable || ctx.Err() != nil {
+		if !isLeftToOthers(failure) || ctx.Err() != nil {
 			return nil, failure
 		}
 	}
 	return nil, failure
 }
 
+// isLeftToOthers reports whether another node has not taken a call for a reason that others
+// need not have: it reaches no runner either, or stops.
+func isLeftToOthers(f *responder.Failure) bool {
+	return f.Reason == responder.ReasonUnreachable || f.Reason == responder.ReasonShuttingDown && f.Outcome == responder.NotRun
+}
+
 func unreachableFailure(c *Call) *responder.Failure {
 	f := c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonUnreachable, "this node does not reach the runners, and no other node can take the request")
 	f.RetryAfter = unreachableRetryAfter
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -56,7 +56,10 @@
 	Leaving func(t *tracker.Target)
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *retrier.SharedBudget
-	Log    *slog.Logger
+	// StopsAt returns when the node answers the calls that are still running because it
+	// stops, or the zero time; nil means that it does not stop.
+	StopsAt func() time.Time
+	Log     *slog.Logger
 }
 
 // Serve forwards a call until it succeeds or must not be retried. It returns the
@@ -296,6 +299,9 @@
 	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
 		return blockedFailure(c, outcome, cause)
 	}
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return StopFailure(c, outcome)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status := http.StatusGatewayTimeout
 		if outcome == responder.NotRun {
--- a/internal/serving/relayer/retry.go
+++ b/internal/serving/relayer/retry.go
@@ -22,11 +22,11 @@
 		maxSends += extraRefusedSends
 	}
 	switch {
-	case ctx.Err() != nil, time.Until(c.Deadline) < minRemaining:
+	case ctx.Err() != nil, time.Until(r.deadline(c)) < minRemaining:
 		return false
 	case s.started && isNotPlaced(f):
 		return time.Since(c.lastEventAt()) < c.Route.Patience
-	case !isRetryableReason(f.Reason):
+	case !isRetryableReason(f.Reason), f.Reason == responder.ReasonShuttingDown && f.Outcome == responder.NotRun:
 		return false
 	case f.Reason == responder.ReasonDialFailed:
 		return len(c.tried) <= maxDials
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -167,7 +167,7 @@
 func (n *successor) find(ctx context.Context, cause error) *attempt {
 	request := n.relayer.slotRequest(&n.call)
 	request.WaitUntil = time.Now().Add(seekTime)
-	if last := n.call.Deadline.Add(-minRemaining); last.Before(request.WaitUntil) {
+	if last := n.relayer.deadline(&n.call).Add(-minRemaining); last.Before(request.WaitUntil) {
 		request.WaitUntil = last
 	}
 	slot, err := n.relayer.Balancer.Acquire(ctx, request)
