Store: one odd object costs no other of its page, list or watch

Cause: a page of a list, and the events of a watch, were decoded as one JSON value. An object nested 20,000 deep, a revision of 1e30 or a name that is a number failed the whole page, on each reading anew, and a watch could not go past it. An object with a revision far ahead of the store's hid all its later changes.

Ruled out: a json.RawMessage for each element (the page then fails for depth all the same), the token decoder (it stops for good at the first value that it refuses), a library (those at hand in go.mod recurse or limit the depth).

An object that cannot be read carries a Problem; if its name can be told, it hides what was known under that name, otherwise the follower leaves it out.

A configuration that cannot be read still is refused as a whole, and the one in use stays; the log says so.

--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -54,13 +54,20 @@
 	}
 }
 
-// decodeCatalog returns nil for a configuration that cannot be decoded.
+// decodeCatalog returns nil for a configuration that cannot be used. It is refused as a
+// whole, and the current one stays: a part of one may grant what the whole would not.
 func (n *Node) decodeCatalog(o follower.Object) *matcher.Catalog {
-	c, err := n.Platform.DecodeCatalog(o.Spec)
+	c, err := (*matcher.Catalog)(nil), o.Problem
+	if err == nil {
+		c, err = n.Platform.DecodeCatalog(o.Spec)
+	}
 	if err != nil {
-		n.Log.Error("cannot decode configuration, keeping the current one", "revision", o.At.Revision, "error", err)
+		if n.rejections.Reject(n.Log, o, err) {
+			n.Log.Error("configuration is not applied; the one in use stays in force", "version", n.catalogVersion(), "revision", o.At.Revision)
+		}
 		return nil
 	}
+	n.rejections.Accept(n.Log, o)
 	return c
 }
 
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -112,6 +112,7 @@
 	activeRequests     atomic.Int64
 	indirectProbes     indirectProbes
 	runnerSummary      runnerSummary
+	rejections         follower.Rejections
 	sights             storeSights
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
--- a/internal/node/server/objects.go
+++ b/internal/node/server/objects.go
@@ -114,15 +114,21 @@
 	n.Client.CloseIdle(r.Address)
 }
 
-// decodeRunner returns nil for an entry that is deleted or cannot be decoded.
+// decodeRunner returns nil for an entry that is deleted or cannot be used. Such an entry
+// names no runner, and hides what was known under its name.
 func (n *Node) decodeRunner(o follower.Object) *tracker.Runner {
 	if o.Deleted {
+		n.rejections.Forget(o)
 		return nil
 	}
-	r, err := n.Platform.DecodeRunner(o.Name, o.Spec)
+	r, err := (*tracker.Runner)(nil), o.Problem
+	if err == nil {
+		r, err = n.Platform.DecodeRunner(o.Name, o.Spec)
+	}
 	if err != nil {
-		n.Log.Warn("cannot decode runner entry, treating the runner as removed", "name", o.Name, "revision", o.At.Revision, "error", err)
+		n.rejections.Reject(n.Log, o, err)
 		return nil
 	}
+	n.rejections.Accept(n.Log, o)
 	return r
 }
--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -25,10 +25,12 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,6 +112,8 @@
 	// objectRevisions holds the revision of each object by name. Deleted objects keep
 	// theirs until the next list.
 	objectRevisions map[string]int64
+	// rejections are the objects without a name.
+	rejections Rejections
 	// received holds the parts of another node's list until it is complete.
 	received partialList
 	// copyEra is the era of at. It is read without mu.
@@ -238,6 +242,7 @@
 	if err != nil {
 		return fmt.Errorf("list %s: %w", f.Kind, err)
 	}
+	objects = f.named(objects)
 	isRestored, err := f.replace(objects, at)
 	if err != nil {
 		return fmt.Errorf("list %s: %w", f.Kind, err)
@@ -290,7 +295,8 @@
 	if at.Era != since.Era || at.Era != f.newestEra() {
 		return fmt.Errorf("watch %s from era %d: %w", f.Kind, since.Era, ErrOtherEra)
 	}
-	f.update(changes, at)
+	named := f.named(changes)
+	f.update(named, at)
 	if len(changes) == 0 {
 		// The store returns no changes only after it has waited, so the copy was
 		// current until then.
@@ -299,11 +305,21 @@
 	}
 	f.confirm(sent)
 	if f.OnChanges != nil {
-		f.OnChanges(Changes{Kind: f.Kind, Since: lastChange, At: at, Objects: changes})
+		f.OnChanges(Changes{Kind: f.Kind, Since: lastChange, At: at, Objects: named})
 	}
 	return nil
 }
 
+// named returns the objects that have a name. The others stand for nothing in the copy.
+func (f *Follower) named(objects []Object) []Object {
+	return slices.DeleteFunc(objects, func(o Object) bool {
+		if o.Name == "" {
+			f.rejections.Reject(f.Log, o, cmp.Or(o.Problem, errNoName))
+		}
+		return o.Name == ""
+	})
+}
+
 // update applies the changes whose objects are newer than in the copy. It ignores changes
 // of another era than the copy's.
 func (f *Follower) update(changes []Object, at sequencer.Position) {
--- a/internal/store/follower/peer.go
+++ b/internal/store/follower/peer.go
@@ -66,13 +66,14 @@
 		return
 	}
 	f.mu.Unlock()
-	f.update(c.Objects, c.At)
+	f.update(f.named(c.Objects), c.At)
 }
 
 // ApplyPeerList applies a list that another node has read in a new era, once all its
 // parts have been received. A copy that is of that era already is not changed.
 func (f *Follower) ApplyPeerList(p ListPart) {
 	f.observe(p.At)
+	p.Objects = f.named(p.Objects)
 	objects, ok := f.addPart(p)
 	if !ok {
 		return
--- a/internal/store/follower/store.go
+++ b/internal/store/follower/store.go
@@ -22,6 +22,8 @@
 	ErrOtherEra = errors.New("store was restored since")
 	// ErrRefused is returned when the store rejected a call and changed nothing.
 	ErrRefused = errors.New("store rejected the call")
+
+	errNoName = errors.New("object has no name")
 )
 
 // Object is one object of the store.
@@ -32,6 +34,9 @@
 	At      sequencer.Position `cbor:"2,keyasint"`
 	Spec    json.RawMessage    `cbor:"3,keyasint,omitempty"`
 	Deleted bool               `cbor:"4,keyasint,omitempty"`
+	// Problem is set if the object could not be read: its Spec is not to be used, and its
+	// Name is empty if not even that is known.
+	Problem error `cbor:"-"`
 }
 
 // Store holds the functions that call the store. If the store reported the failure,
