Follower: a peer's odd message neither ends the process nor empties the copy

Cause: a change whose position "since" is missing (0) counts as following on a copy that was never listed, and was written to a map that does not exist yet: the process ends. A part of a list with 0 or fewer parts, or a number outside them, counted as the whole list and replaced the copy; one of 2^40 parts was kept for good.

Change: changes are ignored until there is a list. Parts outside 0 to Parts-1, and more than 1,000, are ignored.

Evidence: TestOddPeerMessageIsIgnored before: "panic: assignment to entry in nil map" in (*Follower).update, and, with only that mended, "part 0 of 0 was applied or kept" and five more. Both pass now.

--- a/internal/store/follower/peer.go
+++ b/internal/store/follower/peer.go
@@ -17,6 +17,9 @@
 	Objects []Object           `cbor:"4,keyasint"`
 }
 
+// maxListParts is the maximum number of parts of a list.
+const maxListParts = 1000
+
 // Copy describes the state of a node's copy of a kind.
 type Copy struct {
 	// LastChange is the position of the last change that the copy has, or a later one if
@@ -58,6 +61,11 @@
 func (f *Follower) ApplyPeerChanges(c Changes) {
 	f.observe(c.At)
 	f.mu.Lock()
+	if f.at.IsZero() {
+		// Without a list there is nothing that changes apply to.
+		f.mu.Unlock()
+		return
+	}
 	if !f.at.Covers(c.Since) {
 		if c.Since.Era == f.newestEra() {
 			f.fallBehind(c.Since)
@@ -87,6 +95,9 @@
 func (f *Follower) addPart(p ListPart) (objects []Object, isComplete bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if p.Part < 0 || p.Part >= p.Parts || p.Parts > maxListParts {
+		return nil, false
+	}
 	if f.at.IsZero() || p.At.Era <= f.at.Era || p.At.Era != f.newestEra() {
 		return nil, false
 	}
--- a/internal/store/follower/rejections_test.go
+++ b/internal/store/follower/rejections_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"marjorammoor/internal/store/sequencer"
 )
 
 // TestNamelessObjectIsLeftOut guards against an object without a name that reaches the copy,
@@ -63,3 +65,27 @@
 		t.Errorf("%d objects are remembered", len(r.reasons))
 	}
 }
+
+// TestOddPeerMessageIsIgnored guards against a panic of a node without a copy, and against a
+// list that another node sends without all its parts.
+func TestOddPeerMessageIsIgnored(t *testing.T) {
+	f, c := newFollower(&fakeStore{objects: map[string]int64{"a": 4}, revision: 4})
+	f.ApplyPeerChanges(Changes{At: at(7), Objects: []Object{{Name: "b", At: at(7)}}})
+	if len(c.revisions) != 0 {
+		t.Errorf("changes were applied to no copy: %v", c.revisions)
+	}
+	f.Eras = &sequencer.Eras{}
+	if err := f.list(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	p := sequencer.Position{Era: 1, Revision: 3}
+	for _, part := range []ListPart{
+		{}, {Part: 0, Parts: 0}, {Part: 0, Parts: -1}, {Part: -1, Parts: 1}, {Part: 2, Parts: 2}, {Part: 0, Parts: 1 << 40},
+	} {
+		part.At, part.Objects = p, []Object{{Name: "x", At: p}}
+		f.ApplyPeerList(part)
+		if c.revision("a") != 4 || c.revision("x") != 0 || len(f.received.parts) != 0 {
+			t.Errorf("part %d of %d was applied or kept", part.Part, part.Parts)
+		}
+	}
+}
