Announcer: a node entry without an address no longer ends all nodes

Here with an entry among those of the nodes (kind marjorammoor-nodes), which any other writer or version can leave.

Cause: an entry without an address, as {} or null, was passed on as "", which ResolveUDPAddr takes for the zero address without an error. The next heartbeat asks that for its four bytes, which panics, on every node, and again after each start since the list is read again. Addresses 0.0.0.0, broadcast, multicast and host names were taken as well, and an entry could give the address of a node other than its own.

Change: network/checker judges addresses that others have written: ip:port, IPv4 of one host, port not 0. The announcer skips an entry that cannot be used (once in the log, counted), and the beater checks what it is given.

Evidence: TestOddNodeDoesNotEndTheProcess before: "panic: As4 called on IP zero value" in (*Beater).destinations. TestOddNodeIsNotFound before: found [ any address broadcast good host name ipv6 multicast no address no host port 0 port out of range unknown field], want [good unknown field]. Both pass now.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -29,6 +29,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marjorammoor/internal/network/checker"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/timing/repeater"
 )
@@ -111,6 +112,10 @@
 	if name == b.Self {
 		return
 	}
+	if err := checker.Check(address); err != nil {
+		b.Log.Warn("invalid peer address; peer is not added", "peer", name, "error", err)
+		return
+	}
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		b.Log.Warn("invalid peer address; peer is not added", "peer", name, "address", address, "error", err)
--- a/internal/serving/announcer/announcer.go
+++ b/internal/serving/announcer/announcer.go
@@ -19,6 +19,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"marjorammoor/internal/network/checker"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/timing/repeater"
 )
@@ -57,6 +60,8 @@
 	// Found is called for each listed node, in every list.
 	Found func(name, address string)
 	Log   *slog.Logger
+
+	rejections follower.Rejections
 }
 
 // Run announces the node and lists the other nodes until ctx ends, and does so again when
@@ -146,16 +151,36 @@
 		return fmt.Errorf("list nodes: %w", err)
 	}
 	for _, o := range objects {
-		n := Node{}
-		if err := json.Unmarshal(o.Spec, &n); err != nil {
-			a.Log.Warn("cannot decode a node's entry, node is skipped", "name", o.Name, "error", err)
+		n, err := decodeNode(o)
+		if err != nil {
+			a.rejections.Reject(a.Log, o, err)
 			continue
 		}
+		a.rejections.Accept(a.Log, o)
 		a.Found(n.Name, n.Address)
 	}
 	return nil
 }
 
+// decodeNode returns an error for an entry that names no node to send to, or another node
+// than the one that it belongs to.
+func decodeNode(o follower.Object) (Node, error) {
+	if o.Problem != nil {
+		return Node{}, o.Problem
+	}
+	n := Node{}
+	if err := json.Unmarshal(o.Spec, &n); err != nil {
+		return Node{}, fmt.Errorf("decode node entry: %w", err)
+	}
+	if n.Name != o.Name {
+		return Node{}, trace.BadParameter("name: %q is not the entry's own", n.Name)
+	}
+	if err := checker.Check(n.Address); err != nil {
+		return Node{}, fmt.Errorf("node entry: %w", err)
+	}
+	return n, nil
+}
+
 // Withdraw deletes the node's entry at a planned stop.
 func (a *Announcer) Withdraw(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
