Former: an odd assignment holds its domain only and no longer ends the process

Cause: a replica without members was taken as it stood, and its head was looked up (Members[0]): the process of the node that manages the domain ends, then that of the next one. An assignment that cannot be decoded counted as a failed call of the store: the node gave up all of its domains for two seconds, the next one as well; and no assignment of any new domain was created, since they are listed first. "{}", null, one of another domain, or one with an epoch that cannot grow was taken for this domain's, and groups were formed from scratch beside those that serve.

One that fails holds its domain: nothing is decided there, what is open goes on serving; the log says so once, and it is counted. The others are not touched. It is not replaced by a new one: a newer version may understand it.

Evidence: TestOddAssignmentHoldsItsDomainOnly before: "panic: runtime error: index out of range [0] with length 0" in (*domainState).runnersToProbe; case empty: "join ordered from odd-1"; case epoch_too_large: "3 store failures", "create assignments: decode : unexpected end of JSON input".

What remains: an assignment that nothing understands has to be put right by hand; until then lost replicas of that domain are not formed again.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -104,6 +104,8 @@
 	unreachableMu sync.Mutex
 	// unreachable are the runners that recently missed a probe of this node, by ID.
 	unreachable map[string]unreachableRunner
+	// rejections are the assignments that cannot be used.
+	rejections follower.Rejections
 	// pendingLoads is the number of pending loads in all domains of this node.
 	pendingLoads atomic.Int64
 }
--- a/internal/fleet/former/create.go
+++ b/internal/fleet/former/create.go
@@ -48,14 +48,13 @@
 func (c *Controller) createAssignments(ctx context.Context, domains, missing []*domain) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	list, err := c.listAssignments(callCtx)
+	list, names, err := c.listAssignments(callCtx)
 	if err != nil {
 		return err
 	}
 	byDataCenter, total := map[string]map[string]int{}, map[string]int{}
-	c.created = map[string]bool{}
-	for name, a := range list {
-		c.created[name] = true
+	c.created = names
+	for _, a := range list {
 		countDomain(byDataCenter, total, a.DataCenter, a.Model)
 	}
 	models := planModels(withoutAssignment(domains, c.created), len(domains), byDataCenter, total)
--- a/internal/fleet/former/reassign.go
+++ b/internal/fleet/former/reassign.go
@@ -27,7 +27,7 @@
 	s.reassignCheckedAt = time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	stored, err := c.listAssignments(callCtx)
+	stored, _, err := c.listAssignments(callCtx)
 	if err != nil {
 		c.Log.Warn("failed to list assignments for an unserved model; retrying", "domain", d.name, "error", err)
 		c.reportStoreFailure(err)
--- a/internal/fleet/former/stored.go
+++ b/internal/fleet/former/stored.go
@@ -11,24 +11,32 @@
 )
 
 // objectName returns the name of a domain's assignment object in the store.
-func objectName(d *domain) string { return d.service.Name + "--" + d.name }
+func objectName(d *domain) string { return assignmentName(d.service.Name, d.name) }
 
-// readAssignment reads the domain's assignment. If there is none yet, it returns nil
-// and leaves hasAssignment unset.
+func assignmentName(service, domain string) string { return service + "--" + domain }
+
+// readAssignment reads the domain's assignment. If there is none yet, or one that cannot be
+// used, it returns nil and leaves hasAssignment unset: nothing is decided for the domain. An
+// assignment that another version may understand is not replaced.
 func (c *Controller) readAssignment(ctx context.Context, s *domainState, d *domain) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o, err := c.Store.Get(callCtx, AssignmentKind, objectName(d))
-	stored := Assignment{}
 	switch {
 	case errors.Is(err, follower.ErrNotFound):
 		return nil
 	case err != nil:
 		return fmt.Errorf("get %s: %w", objectName(d), err)
 	}
-	if err := json.Unmarshal(o.Spec, &stored); err != nil {
-		return fmt.Errorf("decode %s: %w", objectName(d), err)
+	o.Kind, o.Name = AssignmentKind, objectName(d)
+	stored, err := decodeAssignment(o)
+	if err != nil {
+		if c.rejections.Reject(c.Log, o, err) {
+			c.Log.Error("nothing is decided for the domain until its assignment can be used", "domain", d.name)
+		}
+		return nil
 	}
+	c.rejections.Accept(c.Log, o)
 	c.Log.Info("assignment read", "domain", d.name, "era", o.At.Era, "revision", o.At.Revision, "epoch", stored.Epoch,
 		"claimed_era", stored.Era, "replicas", len(stored.Replicas), "remembered_epoch", s.assignment.Epoch)
 	s.at = o.At
@@ -75,21 +83,24 @@
 	return written, nil
 }
 
-// listAssignments returns all stored assignments by object name.
-func (c *Controller) listAssignments(ctx context.Context) (map[string]Assignment, error) {
+// listAssignments returns all stored assignments that can be used by object name, and the
+// names of all.
+func (c *Controller) listAssignments(ctx context.Context) (list map[string]Assignment, names map[string]bool, err error) {
 	objects, _, err := c.Store.List(ctx, AssignmentKind, false)
 	if err != nil {
-		return nil, fmt.Errorf("list assignments: %w", err)
+		return nil, nil, fmt.Errorf("list assignments: %w", err)
 	}
-	list := map[string]Assignment{}
+	list, names = map[string]Assignment{}, map[string]bool{}
 	for _, o := range objects {
-		a := Assignment{}
-		if err := json.Unmarshal(o.Spec, &a); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", o.Name, err)
+		names[o.Name] = true
+		a, err := decodeAssignment(o)
+		if err != nil {
+			c.rejections.Reject(c.Log, o, err)
+			continue
 		}
 		list[o.Name] = a
 	}
-	return list, nil
+	return list, names, nil
 }
 
 // createAssignment creates an assignment. A conflict is not an error: another node
