Peers: one odd object costs no other of a datagram

Cause: a datagram with changes or a part of a list was decoded as one value. An object of another version, with a position, name or spec of another type or a revision beyond int64, cost all objects of the datagram: each node of the data centre fell behind and read the store by itself, with the changes before sent along once more, so twice. A revision far ahead, below 0 or of another era was taken as it stood and hid later changes of the object or was never applied.

Ruled out: the specs themselves; they travel as bytes and are judged where they are used. Entries that the store client could not read travel without a spec, which each version rejects.

Change: the objects are decoded one by one (beater/objects.go). Of one that cannot be read the name is kept if it can be told, so that it hides what was known; otherwise the follower leaves it out. A position that cannot be one of the message counts as the message's own. Names have at most 253 bytes.

--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -186,13 +186,6 @@
 	return nil
 }
 
-// setKind sets the kind of objects, which datagrams name once for all of them.
-func setKind(objects []follower.Object, kind string) {
-	for i := range objects {
-		objects[i].Kind = kind
-	}
-}
-
 // handlePacked decodes the datagrams that pack encodes and passes their content on. It
 // sends the content of a relayMessage to the nodes that the message names.
 func (b *Beater) handlePacked(kind byte, packed []byte) error {
@@ -218,13 +211,12 @@
 }
 
 func (b *Beater) handleChanges(packed []byte) error {
-	c := follower.Changes{}
+	c := receivedChanges{}
 	if err := unpack(packed, &c); err != nil {
 		return err
 	}
-	setKind(c.Objects, c.Kind)
 	if b.OnChanges != nil {
-		b.OnChanges(c)
+		b.OnChanges(follower.Changes{Kind: c.Kind, Since: c.Since, At: c.At, Objects: decodeObjects(c.Objects, c.Kind, c.At)})
 	}
 	return nil
 }
--- a/internal/peer/beater/list.go
+++ b/internal/peer/beater/list.go
@@ -52,13 +52,12 @@
 }
 
 func (b *Beater) handleListPart(packed []byte) error {
-	p := follower.ListPart{}
+	p := receivedListPart{}
 	if err := unpack(packed, &p); err != nil {
 		return err
 	}
-	setKind(p.Objects, p.Kind)
 	if b.OnListPart != nil {
-		b.OnListPart(p)
+		b.OnListPart(follower.ListPart{Kind: p.Kind, At: p.At, Part: p.Part, Parts: p.Parts, Objects: decodeObjects(p.Objects, p.Kind, p.At)})
 	}
 	return nil
 }
