Estimator: a prediction beyond any time no longer overflows

Cause: the number of prompt tokens comes from the caller, the pace from the configuration; both were multiplied as durations. What overflows is a negative or a very short time, another one on x86-64 than on arm64, and a negative time until the first event lengthens the time for which the call may wait.

Change: the prediction is worked out in seconds as a fraction and is an hour at most. Step, used nowhere else, is gone.

--- a/internal/serving/estimator/estimator.go
+++ b/internal/serving/estimator/estimator.go
@@ -7,6 +7,7 @@
 package estimator
 
 import (
+	"math"
 	"time"
 
 	"marjorammoor/internal/serving/matcher"
@@ -17,6 +18,9 @@
 	// pairShare is the share of a prompt's pairs of tokens that the engine computes:
 	// each token is paired with the tokens before it.
 	pairShare = 0.5
+	// maxEstimate is the longest time that is predicted. Callers name the number of tokens, so
+	// that a prediction may be beyond any time.
+	maxEstimate = time.Hour
 )
 
 // FirstEvent returns how long an engine without other requests takes until the first
@@ -30,25 +34,17 @@
 		promptTokens = e.UsualPrompt
 	}
 	tokens := float64(promptTokens)
-	reading := time.Duration(tokens / e.ReadPerSecond * float64(time.Second))
-	reading += time.Duration(tokens * tokens * pairShare / pairsPerUnit * float64(e.PairsTime))
-	steps := 1 + promptTokens/max(e.Chunk, 1)
-	if e.Chunk <= 0 {
-		steps = 1
+	seconds := tokens/e.ReadPerSecond + tokens*tokens*pairShare/pairsPerUnit*e.PairsTime.Seconds()
+	steps := 1.0
+	if e.Chunk > 0 {
+		steps += math.Floor(tokens / float64(e.Chunk))
 	}
-	return scale(reading+time.Duration(steps)*Step(e, 1, promptTokens), m)
-}
-
-// Step returns how long one step of a batch takes that writes requests with the given
-// tokens of context in all.
-func Step(e *matcher.Engine, requests, contextTokens int) time.Duration {
-	return e.Step + time.Duration(requests)*e.StepPerRequest + time.Duration(float64(contextTokens)/1000*float64(e.StepPerContext))
-}
-
-// scale applies the model's factor to a time.
-func scale(d time.Duration, m *matcher.Model) time.Duration {
-	if m == nil || m.TimeFactor <= 0 {
-		return d
+	seconds += steps * (e.Step.Seconds() + e.StepPerRequest.Seconds() + tokens/1000*e.StepPerContext.Seconds())
+	if m != nil && m.TimeFactor > 0 {
+		seconds *= m.TimeFactor
+	}
+	if !(seconds < maxEstimate.Seconds()) {
+		return maxEstimate
 	}
-	return time.Duration(float64(d) * m.TimeFactor)
+	return time.Duration(seconds * float64(time.Second))
 }
