--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -116,6 +116,7 @@
 	indirectProbes indirectProbes
 	runnerSummary  runnerSummary
 	sights         storeSights
+	rejections     follower.Rejections
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
