--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -42,6 +42,7 @@
 	ReasonUnknownCredential     Reason = "unknown_credential"
 	ReasonUnknownDeployment     Reason = "unknown_deployment"
 	ReasonUnknownPath           Reason = "unknown_path"
+	ReasonHeaderTooLarge        Reason = "header_too_large"
 	ReasonBodyTooLarge          Reason = "body_too_large"
 	ReasonBodyNotRead           Reason = "body_not_read"
 	ReasonMalformedJSON         Reason = "malformed_json"
--- /dev/null
+++ b/internal/node/server/caller_conn.go
@@ -0,0 +1,210 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/serving/matcher"
+)
+
+const (
+	// idleMargin and headerMargin are added to the limits in force, so that the node does
+	// not close a connection while a request arrives that is just in time.
+	idleMargin   = time.Second
+	headerMargin = 2 * time.Second
+	// lastReadTime is how long an expired idle connection is read once more. Bytes that have
+	// arrived are returned at once.
+	lastReadTime = time.Millisecond
+)
+
+// headerTimeoutResponse answers a request whose header does not arrive in time.
+const headerTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+var (
+	idleClosed   = metrics.NewCounter(`marjorammoor_caller_connections_closed_total{reason="idle"}`)
+	headerClosed = metrics.NewCounter(`marjorammoor_caller_connections_closed_total{reason="header_timeout"}`)
+)
+
+// callerPhase is what a connection of a caller is in.
+type callerPhase int
+
+const (
+	// phaseIdle lasts until the first byte of a request.
+	phaseIdle callerPhase = iota
+	phaseHeader
+	phaseServing
+)
+
+// callerConn is a connection of a caller. It bounds the time until a request arrives by the
+// limits in force. An http.Server has a single fixed idle timeout instead, and applies its
+// header timeout to the wait for the first request as well.
+type callerConn struct {
+	*net.TCPConn
+	limits func() matcher.Limits
+
+	mu    sync.Mutex
+	phase callerPhase
+	// since is when the connection became idle, and headerDeadline when the header that has
+	// begun must be complete.
+	since          time.Time
+	headerDeadline time.Time
+	// allowed is how long the caller may leave the connection idle, as it was last told.
+	allowed time.Duration
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		phase, deadline := c.setDeadline()
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.receive()
+			return n, err
+		}
+		if phase == phaseServing || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if phase == phaseHeader {
+			headerClosed.Inc()
+			_, _ = c.Write([]byte(headerTimeoutResponse))
+			return n, err
+		}
+		if c.idleDeadline().After(deadline) {
+			continue
+		}
+		return c.readLast(p)
+	}
+}
+
+// setDeadline sets the deadline of the next read, unless a request is being served, and
+// returns it with the phase to which it belongs.
+func (c *callerConn) setDeadline() (callerPhase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := time.Time{}
+	switch c.phase {
+	case phaseIdle:
+		deadline = c.lockedIdleDeadline()
+	case phaseHeader:
+		deadline = c.headerDeadline
+	case phaseServing:
+		return c.phase, deadline
+	}
+	_ = c.SetReadDeadline(deadline)
+	return c.phase, deadline
+}
+
+// idleDeadline returns when the connection has been idle for too long. A limit that was
+// lowered does not apply before the caller has been told of it.
+func (c *callerConn) idleDeadline() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lockedIdleDeadline()
+}
+
+func (c *callerConn) lockedIdleDeadline() time.Time {
+	return c.since.Add(max(c.allowed, c.limits().IdleTimeout) + idleMargin)
+}
+
+// readLast reads what has arrived by the end of the idle time. A read whose deadline has
+// passed returns none of it.
+func (c *callerConn) readLast(p []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.receive()
+		return n, err
+	}
+	idleClosed.Inc()
+	return n, err
+}
+
+// receive records that bytes have arrived.
+func (c *callerConn) receive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.phase = phaseHeader
+		c.headerDeadline = time.Now().Add(c.limits().HeaderTimeout + headerMargin)
+	}
+}
+
+// serve records that a request is being served, for which reads have no deadline of the
+// connection's own.
+func (c *callerConn) serve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseServing {
+		c.phase = phaseServing
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// wait records that the connection is idle.
+func (c *callerConn) wait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseIdle
+	c.since = time.Now()
+}
+
+// allow records how long the caller may leave the connection idle.
+func (c *callerConn) allow(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.allowed = idle
+}
+
+// callerListener accepts connections of callers.
+type callerListener struct {
+	net.Listener
+	limits func() matcher.Limits
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	tcp, ok := c.(*net.TCPConn)
+	if err != nil || !ok {
+		return c, err
+	}
+	limits := l.limits()
+	return &callerConn{TCPConn: tcp, limits: l.limits, since: time.Now(), allowed: limits.IdleTimeout}, nil
+}
+
+// trackCaller tells a connection in which state the server has it.
+func trackCaller(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.serve()
+	case http.StateIdle:
+		c.wait()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+type callerConnKey struct{}
+
+func withCallerConn(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*callerConn); ok {
+		return context.WithValue(ctx, callerConnKey{}, c)
+	}
+	return ctx
+}
+
+// callerConnOf returns the connection of a request, or nil if it is not one of a caller.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
+}
--- /dev/null
+++ b/internal/node/server/caller_limits.go
@@ -0,0 +1,83 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/matcher"
+)
+
+// The limits for callers if the configuration sets none, and the range in which the node
+// follows the configuration.
+const (
+	defaultHeaderBytes = 64 << 10
+	minHeaderBytes     = 4 << 10
+	maxHeaderBytes     = 1 << 20
+
+	defaultBodyBytes = 8 << 20
+	maxBodyBytes     = 64 << 20
+
+	defaultHeaderTimeout = 3 * time.Second
+	minHeaderTimeout     = time.Second
+	maxHeaderTimeout     = time.Minute
+
+	defaultIdleTimeout = 20 * time.Second
+	minIdleTimeout     = time.Second
+	maxIdleTimeout     = 10 * time.Minute
+)
+
+// callerLimits returns the limits for callers that are in force now.
+func (n *Node) callerLimits() matcher.Limits {
+	l := matcher.Limits{}
+	if c := n.catalog.Load(); c != nil {
+		l = c.Limits
+	}
+	return matcher.Limits{
+		HeaderBytes:   within(l.HeaderBytes, defaultHeaderBytes, minHeaderBytes, maxHeaderBytes),
+		BodyBytes:     within(l.BodyBytes, defaultBodyBytes, 1, maxBodyBytes),
+		HeaderTimeout: within(l.HeaderTimeout, defaultHeaderTimeout, minHeaderTimeout, maxHeaderTimeout),
+		IdleTimeout:   within(l.IdleTimeout, defaultIdleTimeout, minIdleTimeout, maxIdleTimeout),
+	}
+}
+
+// within returns a configured limit, moved into a range. One that is not above 0 is not set.
+func within[T int | int64 | time.Duration](limit, unset, lowest, highest T) T {
+	if limit <= 0 {
+		return unset
+	}
+	return min(max(limit, lowest), highest)
+}
+
+// checkHeader returns the failure for a request whose header is larger than the limit.
+func checkHeader(r *http.Request, id string, l matcher.Limits) *responder.Failure {
+	size := headerBytes(r)
+	if size <= l.HeaderBytes {
+		return nil
+	}
+	return &responder.Failure{
+		Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonHeaderTooLarge, RequestID: id,
+		Message: fmt.Sprintf("the header has %d bytes, more than %d", size, l.HeaderBytes),
+	}
+}
+
+// headerBytes returns the size of the line and the header of a request.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*separators
+	for k, values := range r.Header {
+		for _, v := range values {
+			size += len(k) + len(v) + separators
+		}
+	}
+	return size
+}
+
+// allowIdle tells the caller for how long it may reuse the connection after this response,
+// and keeps the connection for so long.
+func allowIdle(w http.ResponseWriter, c *callerConn, idle time.Duration) {
+	c.allow(idle)
+	w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
+}
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -13,6 +13,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
 
@@ -25,10 +26,7 @@
 	stopMargin = 400 * time.Millisecond
 	// smallBodyBytes is the size up to which a body usually arrives together with
 	// its header; such a body is read without a deadline.
-	smallBodyBytes = 32 << 10
-	maxHeaderBytes = 64 << 10
-	// maxBodyBytes applies while there is no configuration, or if it sets no limit.
-	maxBodyBytes    = 8 << 20
+	smallBodyBytes  = 32 << 10
 	bodyReadTimeout = 10 * time.Second
 )
 
@@ -37,18 +35,25 @@
 	firstByteDurations = metrics.NewHistogram(`marjorammoor_first_byte_seconds`)
 )
 
+// callerServer serves callers. The connections keep their time limits themselves.
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(n.serveCaller),
-		ReadHeaderTimeout: headerTimeout + headerTimeoutMargin,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		Handler:        http.HandlerFunc(n.serveCaller),
+		ConnState:      trackCaller,
+		ConnContext:    withCallerConn,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
 
 // serveCaller serves one request of a caller.
-func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) { n.serve(w, r, nil) }
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if c := callerConnOf(r.Context()); c != nil {
+		c.serve()
+		allowIdle(w, c, n.callerLimits().IdleTimeout)
+	}
+	n.serve(w, r, nil)
+}
 
 // serve reads, admits and serves one request of a caller, or of another node that hands it
 // over.
@@ -66,7 +71,12 @@
 	}
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
-	body, failure := n.readBody(w, r, in.ID)
+	limits := n.callerLimits()
+	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+		n.fail(w, nil, d, failure)
+		return
+	}
+	body, failure := readBody(w, r, in.ID, limits)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -83,21 +93,17 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the configured limit.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit.
+func readBody(w http.ResponseWriter, r *http.Request, id string, l matcher.Limits) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	limit := int64(maxBodyBytes)
-	if c := n.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
-	}
 	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -80,7 +80,7 @@
 	n.catalog.Store(c)
 	n.versions.object.Store(&o)
 	n.tracker.SetServices(c.Services)
-	n.Log.Info("configuration applied", "version", c.Version, "era", o.At.Era, "revision", o.At.Revision)
+	n.Log.Info("configuration applied", "version", c.Version, "era", o.At.Era, "revision", o.At.Revision, "limits", c.Limits)
 }
 
 // catalogVersion returns the version of the configuration in use, or 0 if there is none.
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -62,12 +62,8 @@
 	// memory limit. Goroutine stacks and buffers need the rest.
 	memoryLimitShare = 0.7
 	gcPercent        = 200
-	// callerIdleTimeout is longer than callers keep idle connections for reuse.
-	callerIdleTimeout = 20 * time.Second
-	headerTimeout     = 3 * time.Second
-	// headerTimeoutMargin is added for callers, so that the node does not close a
-	// connection whose request header arrives just in time.
-	headerTimeoutMargin = 2 * time.Second
+	// headerTimeout applies to other nodes and to checks of readiness.
+	headerTimeout = 3 * time.Second
 )
 
 // Node is one serving process. Set Settings, Platform and Log before use.
@@ -136,7 +132,7 @@
 		"first_start", n.Settings.IsFirstStart)
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	callerListener, err := n.listen(n.Settings.CallerAddress)
+	callerListener, err := n.listenToCallers()
 	if err != nil {
 		return err
 	}
@@ -171,6 +167,14 @@
 	return nil
 }
 
+func (n *Node) listenToCallers() (net.Listener, error) {
+	l, err := n.listen(n.Settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return &callerListener{Listener: l, limits: n.callerLimits}, nil
+}
+
 func (n *Node) listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
