--- a/internal/node/server/caller_conn_test.go
+++ b/internal/node/server/caller_conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"marjorammoor/internal/fleet/former"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
@@ -84,15 +86,16 @@
 	address string
 }
 
-// startCallerServer starts a server for callers whose configuration has no route.
+// startCallerServer starts a server for callers that has no configuration.
 func startCallerServer(t *testing.T) *callerServer {
 	n := &Node{
 		Settings: &Settings{Name: "n1", DataCenter: "dc", CallerAddress: "127.0.0.1:0"}, Log: slog.New(slog.DiscardHandler),
 		Platform: &Platform{
-			Store: &follower.Store{}, Eras: &sequencer.Eras{},
+			Store: &follower.Store{}, Eras: &sequencer.Eras{}, Wire: testWire(),
 			ParseRequest: func(r *http.Request) *admitter.Incoming {
-				return &admitter.Incoming{ID: r.Header.Get("Id"), Host: r.Host, Path: r.URL.Path, Header: r.Header}
+				return &admitter.Incoming{ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, Header: r.Header}
 			},
+			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			WriteFailure: func(w http.ResponseWriter, f *responder.Failure) { w.WriteHeader(f.Status) },
 		},
 	}
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -157,7 +157,8 @@
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
-// connection instead if a part of the response was sent or the caller has left.
+// connection instead if a part of the response was sent. A caller that has left may have
+// closed its sending half only, and gets the failure too.
 func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
 	args := []any{
@@ -175,7 +176,7 @@
 		args = append(args, "from_node", d.Node)
 	}
 	n.Log.Warn("request failed", args...)
-	if f.Started || f.Reason == responder.ReasonCallerGone {
+	if f.Started {
 		panic(http.ErrAbortHandler)
 	}
 	reply(w, d, c, f)
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -64,18 +64,16 @@
 	Log    *slog.Logger
 }
 
-// Serve forwards a call until it succeeds or must not be retried. It returns the
-// failure to report to the caller, or nil if a response was written. If Started is
-// set in the failure, the caller has received part of the response and its
-// connection must be closed.
+// Serve forwards a call until it succeeds or must not be retried. ctx ends when the caller
+// has left. It returns the failure to report to the caller, or nil if a response was
+// written. If Started is set in the failure, the caller has received part of the response
+// and its connection must be closed.
 func (r *Relayer) Serve(ctx context.Context, c *Call, a *ResponseWriter) *responder.Failure {
-	ctx, stop := context.WithDeadline(ctx, c.Deadline)
-	defer stop()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	guard, err := r.Breaker.Admit(breaker.Request{Parts: c.SharedParts, Fingerprint: c.Fingerprint}, cancel)
+	l := newLifetime(ctx, c.Deadline)
+	defer l.end()
+	guard, err := r.Breaker.Admit(breaker.Request{Parts: c.SharedParts, Fingerprint: c.Fingerprint}, l.block)
 	if err != nil {
-		return r.finalize(ctx, c, blockedFailure(c, responder.NotRun, err))
+		return r.finalize(l.work, c, blockedFailure(c, responder.NotRun, err))
 	}
 	defer guard.Done()
 	c.guard = guard
@@ -85,22 +83,22 @@
 	}
 	s := &stream{lastID: c.LastEvent}
 	for {
-		failure := r.try(ctx, c, a, s)
+		failure := r.try(l, c, a, s)
 		if failure == nil {
 			return nil
 		}
 		if failure.Outcome == responder.Unknown {
 			c.mayHaveRun = true
 		}
-		if r.shouldRetry(ctx, c, s, failure, budget) {
-			waitBeforeRetry(ctx, failure)
+		if r.shouldRetry(l.caller, c, s, failure, budget) {
+			waitBeforeRetry(l.caller, failure)
 			continue
 		}
 		if c.errorResponse != nil && !s.started {
 			r.writeResponse(c, a, c.errorResponse)
 			return nil
 		}
-		failure = r.finalize(ctx, c, failure)
+		failure = r.finalize(l.work, c, failure)
 		failure.Started = s.started
 		return failure
 	}
@@ -191,20 +189,23 @@
 }
 
 // try acquires a slot and sends a call once.
-func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
+func (r *Relayer) try(l *lifetime, c *Call, a *ResponseWriter, s *stream) *responder.Failure {
 	c.stage = StageSlot
-	slot, err := r.acquireSlot(ctx, c)
+	slot, err := r.acquireSlot(l.caller, c)
 	switch {
 	case errors.Is(err, balancer.ErrUnreachable):
-		return r.handOver(ctx, c, a, s)
+		return r.handOver(l.caller, c, a, s)
 	case err != nil:
-		return slotFailure(ctx, c, err)
+		return slotFailure(l.caller, c, err)
 	}
 	defer slot.Release()
+	if l.caller.Err() != nil {
+		return contextFailure(l.caller, c, responder.NotRun)
+	}
 	if err := c.guard.Start(breaker.Runner{ID: slot.Target.ID, Address: slot.Target.Address, BootTime: slot.Target.BootTime}); err != nil {
 		return blockedFailure(c, responder.NotRun, err)
 	}
-	attempt, cancel := context.WithCancelCause(ctx)
+	attempt, cancel := context.WithCancelCause(l.attempt(c.Route))
 	defer cancel(nil)
 	if c.Route.IsRepeatable() {
 		slot.OnStall(func(cause error) { cancel(cause) })
@@ -361,23 +362,3 @@
 	f.RetryAfter = blocked.RetryAfter
 	return f
 }
-
-// contextFailure returns the failure for a request whose context has ended, by its
-// deadline, because the caller disconnected or because it is blocked.
-func contextFailure(ctx context.Context, c *Call, outcome responder.Outcome) *responder.Failure {
-	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
-		return blockedFailure(c, outcome, cause)
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		status := http.StatusGatewayTimeout
-		if outcome == responder.NotRun {
-			status = http.StatusServiceUnavailable
-		}
-		return c.failure(status, outcome, responder.ReasonDeadline, "the time for the request is over")
-	}
-	return c.failure(statusCallerGone, outcome, responder.ReasonCallerGone, "the caller has gone")
-}
-
-// statusCallerGone is logged when the caller closed its connection before the
-// response. It has the value that nginx uses for this case.
-const statusCallerGone = 499
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -98,7 +98,7 @@
 		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
 		r.writeHeader(a, s, response)
 		if err := a.Write(s.pending[:valid]); err != nil {
-			return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
+			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonCallerGone, err.Error())
 		}
 		c.Timing.recordWrite(c.Arrived)
 	}
