--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -78,6 +78,7 @@
 	ReasonUnknownModel          Reason = "unknown_model"
 	ReasonPartBlocked           Reason = "prompt_part_blocked"
 	ReasonRequestBlocked        Reason = "request_blocked"
+	ReasonInternal              Reason = "internal"
 )
 
 // The headers of responses.
--- a/internal/node/server/caller_conn.go
+++ b/internal/node/server/caller_conn.go
@@ -57,6 +57,8 @@
 	headerDeadline time.Time
 	// allowed is how long the caller may leave the connection idle, as it was last told.
 	allowed time.Duration
+	// isHandled is set once the request has reached the handler.
+	isHandled bool
 }
 
 // Read implements net.Conn.
@@ -152,13 +154,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseIdle
+	c.isHandled = false
 	c.since = time.Now()
 }
 
-// allow records how long the caller may leave the connection idle.
-func (c *callerConn) allow(idle time.Duration) {
+// isUnserved reports whether a header was read that has not reached the handler.
+func (c *callerConn) isUnserved() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.phase == phaseServing && !c.isHandled
+}
+
+// handle records that the request has reached the handler, and how long the caller may leave
+// the connection idle after the response.
+func (c *callerConn) handle(idle time.Duration) {
+	c.serve()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHandled = true
 	c.allowed = idle
 }
 
@@ -180,7 +193,7 @@
 }
 
 // trackCaller tells a connection in which state the server has it.
-func trackCaller(nc net.Conn, state http.ConnState) {
+func (n *Node) trackCaller(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*callerConn)
 	if !ok {
 		return
@@ -190,7 +203,12 @@
 		c.serve()
 	case http.StateIdle:
 		c.wait()
-	case http.StateNew, http.StateHijacked, http.StateClosed:
+	case http.StateClosed:
+		if c.isUnserved() {
+			countUnanswered(unansweredUnserved)
+			n.Log.Warn("connection ends with a request that was not served", "address", nc.RemoteAddr().String(), "stopping", n.stopping.Load())
+		}
+	case http.StateNew, http.StateHijacked:
 	}
 }
 
--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
@@ -74,10 +73,3 @@
 	}
 	return size
 }
-
-// allowIdle tells the caller for how long it may reuse the connection after this response,
-// and keeps the connection for so long.
-func allowIdle(w http.ResponseWriter, c *callerConn, idle time.Duration) {
-	c.allow(idle)
-	w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
-}
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +40,7 @@
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
 		Handler:        http.HandlerFunc(n.serveCaller),
-		ConnState:      trackCaller,
+		ConnState:      n.trackCaller,
 		ConnContext:    withCallerConn,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
@@ -49,15 +50,18 @@
 // serveCaller serves one request of a caller.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if c := callerConnOf(r.Context()); c != nil {
-		c.serve()
-		allowIdle(w, c, n.callerLimits().IdleTimeout)
+		idle := n.callerLimits().IdleTimeout
+		c.handle(idle)
+		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
 	}
 	n.serve(w, r, nil)
 }
 
 // serve reads, admits and serves one request of a caller, or of another node that hands it
 // over.
-func (n *Node) serve(w http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
+func (n *Node) serve(rw http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
+	w := &callerResponse{ResponseWriter: rw}
+	defer n.answerPanic(w, d)
 	arrived := time.Now()
 	if d != nil {
 		arrived = arrived.Add(-d.Age)
@@ -76,7 +80,8 @@
 		n.fail(w, nil, d, failure)
 		return
 	}
-	body, failure := readBody(w, r, in.ID, limits)
+	// Only the server's own writer closes the connection after a body that is too large.
+	body, failure := readBody(rw, r, in.ID, limits)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -115,8 +120,7 @@
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
-func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery) {
-	control := http.NewResponseController(w)
+func (n *Node) serveCall(ctx context.Context, w *callerResponse, c *relayer.Call, d *deliverer.Delivery) {
 	status := 0
 	a := &relayer.ResponseWriter{
 		Start: func(code int, h http.Header) {
@@ -136,7 +140,7 @@
 			if _, err := w.Write(b); err != nil {
 				return fmt.Errorf("write response: %w", err)
 			}
-			if err := control.Flush(); err != nil {
+			if err := w.flush(); err != nil {
 				return fmt.Errorf("flush response: %w", err)
 			}
 			return nil
@@ -159,7 +163,7 @@
 // fail logs and counts a failure and writes it to the caller. It aborts the
 // connection instead if a part of the response was sent. A caller that has left may have
 // closed its sending half only, and gets the failure too.
-func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
+func (n *Node) fail(w *callerResponse, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
@@ -177,7 +181,7 @@
 	}
 	n.Log.Warn("request failed", args...)
 	if f.Started {
-		panic(http.ErrAbortHandler)
+		w.abort(string(f.Reason))
 	}
 	reply(w, d, c, f)
 	n.Platform.WriteFailure(w, f)
