--- a/internal/cli/commander/platform.go
+++ b/internal/cli/commander/platform.go
@@ -18,6 +18,9 @@
 // until SIGINT or SIGTERM. Log lines go to out as JSON. The settings file is checked
 // for changes while the node runs, and read again after SIGHUP.
 func serveOnPlatform(out io.Writer) error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := platform.ReadSettings(path)
 	if err != nil {
@@ -32,9 +35,6 @@
 	log := slog.New(slog.NewJSONHandler(logWriter, nil)).With("node", s.NodeName)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	node := platform.NewNode(s, log)
 	watcher := &platform.Watcher{Path: path, Initial: s, Log: log, OnChange: func(s *platform.Settings) { node.Reload(s.NodeSettings()) }}
 	wg.Go(func() { watcher.Run(ctx, reloads) })
