--- a/internal/node/server/caller_conn_test.go
+++ b/internal/node/server/caller_conn_test.go
@@ -122,11 +122,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	return &callerClient{conn: c, reader: bufio.NewReader(c)}
+	return &callerClient{server: s, conn: c, reader: bufio.NewReader(c)}
 }
 
 // callerClient is a caller with a single connection.
 type callerClient struct {
+	server *callerServer
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -148,6 +149,8 @@
 			return err
 		}
 		return c.response(step)
+	case "body":
+		return c.upload(step, pause)
 	case "closed":
 		return c.expectClosed(pause)
 	}
@@ -168,6 +171,19 @@
 	return c.response(step)
 }
 
+// upload sends a body late, and changes the limits before that.
+func (c *callerClient) upload(step *connectionStep, pause time.Duration) error {
+	if _, err := io.WriteString(c.conn, "POST /x HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nContent-Length: 1\r\n\r\n"); err != nil {
+		return fmt.Errorf("write the header: %w", err)
+	}
+	time.Sleep(pause)
+	c.server.setLimits(step.Limits)
+	if _, err := io.WriteString(c.conn, "x"); err != nil {
+		return fmt.Errorf("write the body: %w", err)
+	}
+	return c.response(step)
+}
+
 func (c *callerClient) response(step *connectionStep) error {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
