--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -42,6 +42,7 @@
 	ReasonUnknownCredential     Reason = "unknown_credential"
 	ReasonUnknownDeployment     Reason = "unknown_deployment"
 	ReasonUnknownPath           Reason = "unknown_path"
+	ReasonHeaderTooLarge        Reason = "header_too_large"
 	ReasonBodyTooLarge          Reason = "body_too_large"
 	ReasonBodyNotRead           Reason = "body_not_read"
 	ReasonMalformedJSON         Reason = "malformed_json"
@@ -77,6 +78,7 @@
 	ReasonUnknownModel          Reason = "unknown_model"
 	ReasonPartBlocked           Reason = "prompt_part_blocked"
 	ReasonRequestBlocked        Reason = "request_blocked"
+	ReasonInternal              Reason = "internal"
 )
 
 // The headers of responses.
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -14,16 +15,14 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
 
 const (
 	// smallBodyBytes is the size up to which a body usually arrives together with
 	// its header; such a body is read without a deadline.
-	smallBodyBytes = 32 << 10
-	maxHeaderBytes = 64 << 10
-	// maxBodyBytes applies while there is no configuration, or if it sets no limit.
-	maxBodyBytes    = 8 << 20
+	smallBodyBytes  = 32 << 10
 	bodyReadTimeout = 10 * time.Second
 )
 
@@ -32,24 +31,33 @@
 	firstByteDurations = metrics.NewHistogram(`marjorammoor_first_byte_seconds`)
 )
 
+// callerServer serves callers. The connections keep their time limits themselves.
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(n.serveCaller),
-		ReadHeaderTimeout: headerTimeout + headerTimeoutMargin,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       n.baseContext,
-		ConnState:         n.connections.record,
-		ErrorLog:          slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		Handler:        http.HandlerFunc(n.serveCaller),
+		BaseContext:    n.baseContext,
+		ConnState:      n.trackCaller,
+		ConnContext:    withCallerConn,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
 
 // serveCaller serves one request of a caller.
-func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) { n.serve(w, r, nil) }
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if c := callerConnOf(r.Context()); c != nil {
+		idle := n.callerLimits().IdleTimeout
+		c.handle(idle)
+		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
+	}
+	n.serve(w, r, nil)
+}
 
 // serve reads, admits and serves one request of a caller, or of another node that hands it
 // over.
-func (n *Node) serve(w http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
+func (n *Node) serve(rw http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
+	w := &callerResponse{ResponseWriter: rw}
+	defer n.answerPanic(w, d)
 	arrived := time.Now()
 	if d != nil {
 		arrived = arrived.Add(-d.Age)
@@ -61,7 +69,13 @@
 	n.closeIfStopping(w.Header())
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
-	body, failure := n.readBody(w, r, in.ID)
+	limits := n.callerLimits()
+	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+		n.fail(w, nil, d, failure)
+		return
+	}
+	// Only the server's own writer closes the connection after a body that is too large.
+	body, failure := n.readBody(rw, r, in.ID, limits)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -81,15 +95,11 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the configured limit.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string, l matcher.Limits) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	limit := int64(maxBodyBytes)
-	if c := n.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
-	}
 	control := http.NewResponseController(w)
 	stop := context.AfterFunc(n.signals.answers, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
@@ -97,7 +107,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -109,8 +119,7 @@
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
-func (n *Node) serveCall(ctx context.Context, w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery) {
-	control := http.NewResponseController(w)
+func (n *Node) serveCall(ctx context.Context, w *callerResponse, c *relayer.Call, d *deliverer.Delivery) {
 	status := 0
 	hasBegun := atomic.Bool{}
 	ctx, cancel := n.withAnswerTime(ctx, &hasBegun)
@@ -132,7 +141,7 @@
 			if _, err := w.Write(b); err != nil {
 				return fmt.Errorf("write response: %w", err)
 			}
-			if err := control.Flush(); err != nil {
+			if err := w.flush(); err != nil {
 				return fmt.Errorf("flush response: %w", err)
 			}
 			return nil
@@ -153,8 +162,9 @@
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
-// connection instead if a part of the response was sent or the caller has left.
-func (n *Node) fail(w http.ResponseWriter, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
+// connection instead if a part of the response was sent. A caller that has left may have
+// closed its sending half only, and gets the failure too.
+func (n *Node) fail(w *callerResponse, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
@@ -171,8 +181,8 @@
 		args = append(args, "from_node", d.Node)
 	}
 	n.Log.Warn("request failed", args...)
-	if f.Started || f.Reason == responder.ReasonCallerGone {
-		panic(http.ErrAbortHandler)
+	if f.Started {
+		w.abort(string(f.Reason))
 	}
 	n.closeIfStopping(w.Header())
 	reply(w, d, c, f)
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"marjorammoor/internal/fleet/former"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/beater"
 	"marjorammoor/internal/peer/deliverer"
@@ -187,6 +188,7 @@
 			Eras:         &sequencer.Eras{},
 			Wire:         stopWire(),
 			ParseRequest: parseStopRequest,
+			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			WriteFailure: func(w http.ResponseWriter, f *responder.Failure) {
 				w.Header().Set("Outcome", string(f.Outcome))
 				if f.RetryAfter > 0 {
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -62,18 +62,16 @@
 	Log     *slog.Logger
 }
 
-// Serve forwards a call until it succeeds or must not be retried. It returns the
-// failure to report to the caller, or nil if a response was written. If Started is
-// set in the failure, the caller has received part of the response and its
-// connection must be closed.
+// Serve forwards a call until it succeeds or must not be retried. ctx ends when the caller
+// has left. It returns the failure to report to the caller, or nil if a response was
+// written. If Started is set in the failure, the caller has received part of the response
+// and its connection must be closed.
 func (r *Relayer) Serve(ctx context.Context, c *Call, a *ResponseWriter) *responder.Failure {
-	ctx, stop := context.WithDeadline(ctx, c.Deadline)
-	defer stop()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	guard, err := r.Breaker.Admit(breaker.Request{Parts: c.SharedParts, Fingerprint: c.Fingerprint}, cancel)
+	l := newLifetime(ctx, c.Deadline)
+	defer l.end()
+	guard, err := r.Breaker.Admit(breaker.Request{Parts: c.SharedParts, Fingerprint: c.Fingerprint}, l.block)
 	if err != nil {
-		return r.finalize(ctx, c, blockedFailure(c, responder.NotRun, err))
+		return r.finalize(l.work, c, blockedFailure(c, responder.NotRun, err))
 	}
 	defer guard.Done()
 	c.guard = guard
@@ -84,25 +82,25 @@
 	s := &stream{lastID: c.LastEvent}
 	defer func() { c.next.close() }()
 	for {
-		failure := r.try(ctx, c, a, s, budget)
+		failure := r.try(l, c, a, s, budget)
 		if failure == nil {
 			return nil
 		}
 		if failure.Outcome == responder.Unknown {
 			c.mayHaveRun = true
 		}
-		if c.next != nil && ctx.Err() == nil {
+		if c.next != nil && l.caller.Err() == nil {
 			continue
 		}
-		if r.shouldRetry(ctx, c, s, failure, budget) {
-			waitBeforeRetry(ctx, failure)
+		if r.shouldRetry(l.caller, c, s, failure, budget) {
+			waitBeforeRetry(l.caller, failure)
 			continue
 		}
 		if c.errorResponse != nil && !s.started {
 			r.writeResponse(c, a, c.errorResponse)
 			return nil
 		}
-		failure = r.finalize(ctx, c, failure)
+		failure = r.finalize(l.work, c, failure)
 		failure.Started = s.started
 		return failure
 	}
@@ -125,8 +123,8 @@
 }
 
 // try sends a call once, or goes on with an attempt that was sent while the last one was silent.
-func (r *Relayer) try(ctx context.Context, c *Call, a *ResponseWriter, s *stream, b *retrier.SharedBudget) *responder.Failure {
-	at, failure := r.begin(ctx, c, s, b)
+func (r *Relayer) try(l *lifetime, c *Call, a *ResponseWriter, s *stream, b *retrier.SharedBudget) *responder.Failure {
+	at, failure := r.begin(l, c, s, b)
 	if at == nil {
 		return failure
 	}
@@ -145,23 +143,27 @@
 
 // begin returns the next attempt of a call once its response has begun, or with the failure by
 // which it has ended, or only a failure if there is no attempt.
-func (r *Relayer) begin(ctx context.Context, c *Call, s *stream, b *retrier.SharedBudget) (*attempt, *responder.Failure) {
+func (r *Relayer) begin(l *lifetime, c *Call, s *stream, b *retrier.SharedBudget) (*attempt, *responder.Failure) {
 	if at := c.next; at != nil {
 		c.next = nil
-		r.watch(ctx, c, s, at, b)
+		r.watch(l.caller, c, s, at, b)
 		return at, nil
 	}
 	c.stage = StageSlot
-	slot, err := r.acquireSlot(ctx, c)
+	slot, err := r.acquireSlot(l.caller, c)
 	switch {
 	case errors.Is(err, balancer.ErrUnreachable):
-		return r.handOver(ctx, c, s.last())
+		return r.handOver(l.caller, c, s.last())
 	case err != nil:
-		return nil, slotFailure(ctx, c, err)
+		return nil, slotFailure(l.caller, c, err)
 	}
-	at := newAttempt(ctx, c.guard, slot)
+	if l.caller.Err() != nil {
+		slot.Release()
+		return nil, contextFailure(l.caller, c, responder.NotRun)
+	}
+	at := newAttempt(l.attempt(c.Route), c.guard, slot)
 	c.tried = append(c.tried, slot.Target.ID)
-	r.watch(ctx, c, s, at, b)
+	r.watch(l.caller, c, s, at, b)
 	return at, r.send(c, at, s.last())
 }
 
@@ -292,26 +294,3 @@
 	f.RetryAfter = blocked.RetryAfter
 	return f
 }
-
-// contextFailure returns the failure for a request whose context has ended, by its
-// deadline, because the caller disconnected or because it is blocked.
-func contextFailure(ctx context.Context, c *Call, outcome responder.Outcome) *responder.Failure {
-	if cause := context.Cause(ctx); errors.Is(cause, breaker.ErrBlocked) {
-		return blockedFailure(c, outcome, cause)
-	}
-	if errors.Is(context.Cause(ctx), ErrStopping) {
-		return StopFailure(c, outcome)
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		status := http.StatusGatewayTimeout
-		if outcome == responder.NotRun {
-			status = http.StatusServiceUnavailable
-		}
-		return c.failure(status, outcome, responder.ReasonDeadline, "the time for the request is over")
-	}
-	return c.failure(statusCallerGone, outcome, responder.ReasonCallerGone, "the caller has gone")
-}
-
-// statusCallerGone is logged when the caller closed its connection before the
-// response. It has the value that nginx uses for this case.
-const statusCallerGone = 499
