Test: attempts that replace each other at random times keep order and slots

Checks that each caller gets each event once and in order, that requests run max_attempts times at most, that none is reported as not run after a run, and that all slots and goroutines come back.

--- /dev/null
+++ b/internal/serving/relayer/switch_test.go
@@ -0,0 +1,216 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/routing/retrier"
+	"marjorammoor/internal/serving/balancer"
+	"marjorammoor/internal/serving/breaker"
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// randomRunners serve resumed streams of a number of events, and do something random at a
+// random point of each.
+type randomRunners struct {
+	events int
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// runs and refusals count the attempts that were run and refused, by request.
+	runs, refusals map[string]int
+}
+
+// act returns what happens to an attempt, before which of its events, and how long a pause is.
+func (s *randomRunners) act(id string, left int) (what string, at int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	actions := []string{"pause", "pause", "pause", "pauses", "break", "hang", "refuse", "late_refuse", "late_head", "error", "end"}
+	what = actions[s.random.IntN(len(actions))]
+	if strings.HasSuffix(what, "refuse") {
+		s.refusals[id]++
+	} else {
+		s.runs[id]++
+	}
+	return what, s.random.IntN(max(left, 1)), time.Duration(s.random.IntN(60)) * time.Millisecond
+}
+
+func (s *randomRunners) respond(c net.Conn) {
+	defer c.Close() //nolint:errcheck
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	id := q.Header.Get("Id")
+	last, _ := strconv.Atoi(q.Header.Get("Last"))
+	what, at, pause := s.act(id, s.events-last)
+	head := "HTTP/1.1 %d X\r\nId: " + id + "\r\nConnection: close\r\nSigned: 1\r\n%s\r\n"
+	switch what {
+	case "late_refuse", "late_head", "error":
+		time.Sleep(pause)
+	}
+	switch what {
+	case "refuse", "late_refuse":
+		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nContent-Length: 0\r\n")
+		return
+	case "error":
+		_, _ = fmt.Fprintf(c, head, 500, "Content-Length: 0\r\n")
+		return
+	}
+	_, _ = fmt.Fprintf(c, head, 200, "Transfer-Encoding: chunked\r\n")
+	for i := last + 1; i <= s.events; i++ {
+		switch {
+		case what == "pauses", what == "pause" && i-last-1 == at:
+			time.Sleep(pause)
+		case what == "break" && i-last-1 == at:
+			return
+		case what == "hang" && i-last-1 == at:
+			time.Sleep(time.Second)
+			return
+		}
+		e := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+// switchTest is a relayer before randomRunners.
+type switchTest struct {
+	*randomRunners
+	relayer *Relayer
+}
+
+func newSwitchTest(t *testing.T, seed uint64) *switchTest {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &randomRunners{events: 8, random: rand.New(rand.NewPCG(seed, 0)), runs: map[string]int{}, refusals: map[string]int{}}
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go s.respond(c)
+		}
+	}()
+	tr := &tracker.Tracker{}
+	tr.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	list := []*tracker.Runner{}
+	for i := range switchRunners {
+		list = append(list, &tracker.Runner{ID: fmt.Sprintf("r%d", i), Service: "s", Address: l.Addr().String(), State: tracker.Ready, Slots: 3})
+	}
+	tr.Replace(list, 0)
+	budget := &retrier.SharedBudget{Ratio: 1, Burst: 1000}
+	return &switchTest{s, &Relayer{
+		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
+		Breaker: &breaker.Breaker{HasEnded: func(breaker.Runner) bool { return false }, Log: slog.New(slog.DiscardHandler)},
+		Budget:  func(string) *retrier.SharedBudget { return budget }, Log: slog.New(slog.DiscardHandler),
+	}}
+}
+
+const switchRunners = 6
+
+// call serves one request and checks what its caller gets. If leaves is set, the caller leaves
+// after that time.
+func (s *switchTest) call(t *testing.T, id string, maxAttempts int, leaves time.Duration) {
+	now := time.Now()
+	c := &Call{
+		ID: id, Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(2 * time.Second), CallerDeadline: now.Add(2 * time.Second),
+		Route: &matcher.Route{Type: matcher.Stream, Resumable: true, MaxAttempts: maxAttempts, TargetLatency: time.Second, Patience: time.Second},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if leaves > 0 {
+		time.AfterFunc(leaves, cancel)
+	}
+	status, body := 0, strings.Builder{}
+	failure := s.relayer.Serve(ctx, c, &ResponseWriter{
+		Start: func(code int, _ http.Header) { status = code },
+		Write: func(b []byte) error { _, err := body.Write(b); return err },
+	})
+	if late := time.Since(now) - leaves; leaves > 0 && late > 400*time.Millisecond {
+		t.Errorf("%s: ended %v after the caller had left", id, late)
+	}
+	want := strings.Builder{}
+	n := strings.Count(body.String(), "\n\n")
+	for i := range n {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: x\n\n", i+1)
+	}
+	isWhole := n == s.events || n == 0 && status == http.StatusInternalServerError
+	if body.String() != want.String() || failure == nil && !isWhole {
+		t.Errorf("%s: got status %d, %d of %d events, failure %v: %q", id, status, n, s.events, failure, body.String())
+	}
+	if failure != nil && strings.Contains(failure.Message, errOutOfOrder.Error()) {
+		t.Errorf("%s: %s", id, failure.Message)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[id] > maxAttempts {
+		t.Errorf("%s: run %d times, max_attempts is %d, refused %d times", id, s.runs[id], maxAttempts, s.refusals[id])
+	}
+	if failure != nil && failure.Outcome == responder.NotRun && s.runs[id] > 0 {
+		t.Errorf("%s: reported as not run after %d runs: %s", id, s.runs[id], failure.Message)
+	}
+}
+
+// TestSwitchKeepsOrderAndSlots checks that callers get each event once and in order while attempts
+// replace each other at random times, that no request runs too often, and that nothing is left.
+func TestSwitchKeepsOrderAndSlots(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { checkSwitches(t, seed) })
+	}
+}
+
+func checkSwitches(t *testing.T, seed uint64) {
+	before := runtime.NumGoroutine()
+	s := newSwitchTest(t, seed)
+	stop := make(chan struct{})
+	go believeLost(s.relayer.Balancer, stop)
+	workers := sync.WaitGroup{}
+	for w := range 6 {
+		random := rand.New(rand.NewPCG(seed, uint64(w+1)))
+		workers.Go(func() {
+			for i := range 8 {
+				leaves := time.Duration(0)
+				if random.IntN(4) == 0 {
+					leaves = time.Duration(1+random.IntN(120)) * time.Millisecond
+				}
+				s.call(t, fmt.Sprintf("%d-%d", w, i), 1+random.IntN(3), leaves)
+			}
+		})
+	}
+	workers.Wait()
+	close(stop)
+	checkNothingLeft(t, s.relayer, before+1)
+}
+
+// checkNothingLeft checks that all slots are free again, that no call is registered with the
+// breaker, and that no more than a number of goroutines run, those of the test's runners among them.
+func checkNothingLeft(t *testing.T, r *Relayer, goroutines int) {
+	t.Helper()
+	held, running := 0, 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		held = 0
+		for _, x := range r.Balancer.View().All() {
+			held += r.Balancer.InFlight(x.ID)
+		}
+		if running = runtime.NumGoroutine(); held == 0 && running <= goroutines {
+			return
+		}
+	}
+	t.Errorf("%d slots are held, %d goroutines run, %d at most before", held, running, goroutines)
+}
