Ask for no whole response again while its caller reads it slowly

What callers saw: nothing at once. A node lost a slot for good, with a connection and an entry at the breaker, and a runner did work in vain. Cause: a response was whole, but the slot is held until it is written; a silent target then had the request sent again. That attempt was taken in place of one that had already succeeded, and nothing ended it. Change: once the response is whole, no other attempt is looked for. Evidence: TestSlowCallerLeavesNoSlotBehind failed with "2 attempts, wanted 1" and "1 slots are held", and holds now.

--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -55,9 +55,15 @@
 
 // recordProgress records that the runner has sent something. It returns false if another attempt
 // already goes on in place of this one, which must not be relayed any further.
-func (at *attempt) recordProgress() bool {
+func (at *attempt) recordProgress() bool { return at.record(false) }
+
+// recordWhole is recordProgress for a response that is whole. No other attempt begins while it is
+// written to the caller, however slowly.
+func (at *attempt) recordWhole() bool { return at.record(true) }
+
+func (at *attempt) record(isWhole bool) bool {
 	if at.next != nil {
-		return at.next.recordProgress()
+		return at.next.recordProgress(isWhole)
 	}
 	at.slot.RecordProgress()
 	return true
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -72,7 +72,7 @@
 		case errors.Is(readErr, io.EOF) && at.response.EndsWithConnection && !s.hasEvent:
 			return r.streamFailure(c, at, errNoEvent)
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
-			if !at.recordProgress() {
+			if !at.recordWhole() {
 				return r.stallFailure(at.ctx, c, at.slot)
 			}
 			at.slot.RecordSuccess()
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -51,7 +51,7 @@
 	stop context.CancelCauseFunc
 	// isSent is set while the call may be at another runner or node.
 	isSent bool
-	// isOver is set once the present attempt has ended by itself.
+	// isOver is set once the present attempt has ended by itself, or its response is whole.
 	isOver bool
 	// next is the attempt that goes on.
 	next *attempt
@@ -73,8 +73,9 @@
 }
 
 // recordProgress records progress of the present attempt, which ends the search. It returns
-// false if another attempt already goes on.
-func (n *successor) recordProgress() bool {
+// false if another attempt already goes on. isWhole is set if the response is whole, so that no
+// other attempt is needed any more.
+func (n *successor) recordProgress(isWhole bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.next != nil {
@@ -84,6 +85,7 @@
 	if n.stop != nil {
 		n.stop(errHasProgress)
 	}
+	n.isOver = isWhole
 	return true
 }
 
--- /dev/null
+++ b/internal/serving/relayer/takeover_test.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/matcher"
+)
+
+// takeover is a call whose runners are taken for lost again and again.
+type takeover struct {
+	*silenceCase
+	runners *scriptedRunners
+	relayer *Relayer
+	// write, if set, is called before each write to the caller.
+	write func() error
+	body  strings.Builder
+}
+
+func newTakeover(t *testing.T, x *silenceCase) *takeover {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scriptedRunners{runs: x.Runs}
+	go s.serve(l)
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop); _ = l.Close() })
+	k := &takeover{silenceCase: x, runners: s, relayer: x.relayer(l.Addr().String())}
+	k.relayer.Breaker.Log = slog.New(slog.DiscardHandler)
+	go believeLost(k.relayer.Balancer, stop)
+	return k
+}
+
+func (k *takeover) call(t *testing.T) *responder.Failure {
+	now := time.Now()
+	c := &Call{
+		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(3 * time.Second), CallerDeadline: now.Add(3 * time.Second),
+		Route:       &matcher.Route{Type: routeTypes[k.Type], Resumable: k.Type == "stream", MaxAttempts: k.MaxAttempts, TargetLatency: time.Second, Patience: 2 * time.Second},
+		SharedParts: []string{"p"},
+	}
+	return k.relayer.Serve(t.Context(), c, &ResponseWriter{
+		Start: func(int, http.Header) {},
+		Write: func(b []byte) error {
+			if k.write != nil {
+				if err := k.write(); err != nil {
+					return err
+				}
+			}
+			_, err := k.body.Write(b)
+			return err
+		},
+	})
+}
+
+func (k *takeover) sends() int {
+	k.runners.mu.Lock()
+	defer k.runners.mu.Unlock()
+	return k.runners.sends
+}
+
+// TestSlowCallerLeavesNoSlotBehind checks that a whole response is not asked for again while its caller
+// reads it slowly, and that no slot stays held.
+func TestSlowCallerLeavesNoSlotBehind(t *testing.T) {
+	k := newTakeover(t, &silenceCase{Type: "idempotent", MaxAttempts: 2, Runners: 3, Budget: 9, Runs: []string{"ok", "ok"}})
+	k.write = func() error { time.Sleep(300 * time.Millisecond); return nil }
+	before := runtime.NumGoroutine()
+	if failure := k.call(t); failure != nil {
+		t.Errorf("failed: %s", failure.Message)
+	}
+	if n := k.sends(); n != 1 {
+		t.Errorf("%d attempts, wanted 1", n)
+	}
+	checkNothingLeft(t, k.relayer, before)
+}
