End both attempts of a request whose caller takes no more bytes

What happened: after a write to the caller had failed, its request kept a worker, slots and connections until its deadline (3.03 s of 3 s in the test), if the stream had been sent to another runner meanwhile. Then it even went on with that one. Cause: an attempt that ended with a failure waited for the one that may already run; a caller that has gone is a failure of no runner. The context of the request tells it in most cases, but not if only writes fail. Change: such a failure ends the search and the attempt in its place. Evidence: TestCallerThatIsGoneEndsBothAttempts failed with "ended after 3.03603545s with caller_gone", and holds now.

--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -274,11 +274,12 @@
 }
 
 // end records that the present attempt has ended with a failure, or nil. It returns the attempt
-// that goes on in its place, and waits for the one that may already run.
+// that goes on in its place, and waits for the one that may already run, unless the caller needs none.
 func (n *successor) end(c *Call, failure *responder.Failure) *attempt {
+	isNeeded := failure != nil && failure.Reason != responder.ReasonCallerGone
 	n.mu.Lock()
 	n.isOver = true
-	isSent := n.isSent && failure != nil && n.ctx.Err() == nil
+	isSent := n.isSent && isNeeded && n.ctx.Err() == nil
 	if n.stop != nil && n.next == nil && !isSent {
 		n.stop(nil)
 	}
@@ -291,5 +292,9 @@
 	c.attempts += n.call.attempts - n.base
 	c.tried, c.triedPeers = n.call.tried, n.call.triedPeers
 	c.mayHaveRun = c.mayHaveRun || n.call.mayHaveRun
+	if !isNeeded {
+		n.next.close()
+		return nil
+	}
 	return n.next
 }
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -79,3 +80,16 @@
 	}
 	checkNothingLeft(t, k.relayer, before)
 }
+
+// TestCallerThatIsGoneEndsBothAttempts checks that nothing goes on after a write to the caller
+// has failed, although another attempt is under way.
+func TestCallerThatIsGoneEndsBothAttempts(t *testing.T) {
+	k := newTakeover(t, &silenceCase{Type: "stream", MaxAttempts: 2, Runners: 3, Budget: 9, Runs: []string{"stream 1-4 hang", "mute"}})
+	k.write = func() error { time.Sleep(200 * time.Millisecond); return errors.New("the caller is gone") }
+	before, started := runtime.NumGoroutine(), time.Now()
+	failure := k.call(t)
+	if took := time.Since(started); failure == nil || failure.Reason != responder.ReasonCallerGone || took > time.Second {
+		t.Errorf("ended after %v with %v", took, failure)
+	}
+	checkNothingLeft(t, k.relayer, before)
+}
