A late refusal or error does not end the attempt beside it

What callers saw: a request whose runner was silent and then refused, or answered with an error, got that although it had been sent to another runner, which was at work; with no retry left it ended with 502, or with the error of the first runner. Cause: whatever a silent runner sent counted as progress and ended the attempt sent in its place, before it was known whether the answer was of use: again work that is ended before something better has begun. Change: a refusal, an error or an answer that is not surely the runner's own begins no other attempt, but lets one go on that was sent. The runner is still no longer suspected. Evidence: TestLateRefusalDoesNotEndTheOtherAttempt failed with "refused_by_runner (unknown)", 'body "bad"' and "answer_mismatch (unknown)", and holds now.

--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -53,17 +53,11 @@
 	}
 }
 
-// recordProgress records that the runner has sent something. It returns false if another attempt
-// already goes on in place of this one, which must not be relayed any further.
-func (at *attempt) recordProgress() bool { return at.record(false) }
-
-// recordWhole is recordProgress for a response that is whole. No other attempt begins while it is
-// written to the caller, however slowly.
-func (at *attempt) recordWhole() bool { return at.record(true) }
-
-func (at *attempt) record(isWhole bool) bool {
+// record records that the runner has sent something. It returns false if another attempt already
+// goes on in place of this one, which must not be relayed any further.
+func (at *attempt) record(p progress) bool {
 	if at.next != nil {
-		return at.next.recordProgress(isWhole)
+		return at.next.record(p)
 	}
 	at.slot.RecordProgress()
 	return true
@@ -88,21 +82,32 @@
 	at.response = response
 	c.attempts++
 	c.stage = StageBody
-	if !at.recordProgress() {
+	inspection := r.Wire.Inspect(response.Status, response.Header)
+	if !at.record(inspection.progress(response.Status)) {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
-	inspection := r.Wire.Inspect(response.Status, response.Header)
 	r.recordAsked(at.slot, inspection)
 	switch {
 	case inspection.NotRun || inspection.Misdirected:
 		return r.refusalFailure(c, at.slot, response, inspection)
-	case !inspection.Verified || inspection.Encoded:
+	case inspection.isUnusable():
 		at.slot.RecordFailure()
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
 	}
 	return nil
 }
 
+// isUnusable reports whether a response may not be passed on.
+func (i *Inspection) isUnusable() bool { return !i.Verified || i.Encoded }
+
+// progress returns what the header of a response with a status counts for.
+func (i *Inspection) progress(status int) progress {
+	if i.NotRun || i.Misdirected || i.isUnusable() || status >= http.StatusInternalServerError {
+		return useless
+	}
+	return partial
+}
+
 // relay passes the response of an attempt on to the caller.
 func (r *Relayer) relay(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
 	c.stage = StageBody
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -243,7 +243,7 @@
 		c.recordBreak(slot)
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
-	if !at.recordWhole() {
+	if !at.record(whole) {
 		return r.stallFailure(ctx, c, slot)
 	}
 	c.guard.Complete()
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -116,6 +116,18 @@
 	case "late":
 		time.Sleep(silence)
 		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
+	case "later":
+		time.Sleep(2 * silence)
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
+	case "late_error":
+		time.Sleep(silence)
+		_, _ = fmt.Fprintf(c, head+"bad", 500, "Signed: 1\r\nContent-Length: 3\r\n")
+	case "late_unsigned":
+		time.Sleep(silence)
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Content-Length: 2\r\n")
+	case "late_refuse":
+		time.Sleep(silence)
+		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nContent-Length: 0\r\n")
 	case "mute":
 		time.Sleep(10 * silence)
 	case "hang_up":
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -72,7 +72,7 @@
 		case errors.Is(readErr, io.EOF) && at.response.EndsWithConnection && !s.hasEvent:
 			return r.streamFailure(c, at, errNoEvent)
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
-			if !at.recordWhole() {
+			if !at.record(whole) {
 				return r.stallFailure(at.ctx, c, at.slot)
 			}
 			at.slot.RecordSuccess()
@@ -108,7 +108,7 @@
 		}
 		return nil
 	}
-	if !at.recordProgress() {
+	if !at.record(partial) {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
 	valid, orderErr := s.checkOrder(s.pending[:end])
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -51,7 +51,7 @@
 	stop context.CancelCauseFunc
 	// isSent is set while the call may be at another runner or node.
 	isSent bool
-	// isOver is set once the present attempt has ended by itself, or its response is whole.
+	// isOver is set once the present attempt has ended by itself, or its response is whole or useless.
 	isOver bool
 	// next is the attempt that goes on.
 	next *attempt
@@ -72,20 +72,31 @@
 	at.slot.OnStall(func(cause error) { go n.seek(cause) })
 }
 
-// recordProgress records progress of the present attempt, which ends the search. It returns
-// false if another attempt already goes on. isWhole is set if the response is whole, so that no
-// other attempt is needed any more.
-func (n *successor) recordProgress(isWhole bool) bool {
+// progress is what the runner of an attempt has sent.
+type progress int
+
+const (
+	// partial is a part of a response.
+	partial progress = iota
+	// whole is the end of a response: no other attempt is needed any more.
+	whole
+	// useless is a refusal or an error. No other attempt begins, but one that was sent goes on.
+	useless
+)
+
+// record records progress of the present attempt, which ends the search unless it is useless. It
+// returns false if another attempt already goes on.
+func (n *successor) record(p progress) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.next != nil {
 		return false
 	}
 	n.present.slot.RecordProgress()
-	if n.stop != nil {
+	if n.stop != nil && !n.isOver && p != useless {
 		n.stop(errHasProgress)
 	}
-	n.isOver = isWhole
+	n.isOver = n.isOver || p != partial
 	return true
 }
 
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -93,3 +93,19 @@
 	}
 	checkNothingLeft(t, k.relayer, before)
 }
+
+// TestLateRefusalDoesNotEndTheOtherAttempt checks that a silent runner which refuses in the end, or
+// answers with an error, does not end the attempt that was sent meanwhile.
+func TestLateRefusalDoesNotEndTheOtherAttempt(t *testing.T) {
+	for _, behavior := range []string{"late_refuse", "late_error", "late_unsigned"} {
+		t.Run(behavior, func(t *testing.T) {
+			k := newTakeover(t, &silenceCase{Type: "idempotent", MaxAttempts: 2, Runners: 3, Budget: 1, Runs: []string{behavior, "later"}})
+			if failure := k.call(t); failure != nil || k.body.String() != "ok" {
+				t.Errorf("failure %v, body %q", failure, k.body.String())
+			}
+			if n := k.sends(); n != 2 {
+				t.Errorf("%d attempts, wanted 2", n)
+			}
+		})
+	}
+}
