Replace a silent attempt also after another runner has refused it

What callers saw: a stream whose runner was silent for good ended at its deadline if the second runner refused it, although a third was free. Cause: the search for another runner counted the refusal as the last attempt. An attempt that follows a failure may be refused once without being the last; the search lacked this rule. Change: it has the rule now.

--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -43,8 +43,10 @@
 	// it is in use.
 	seekMu sync.Mutex
 	call   Call
-	// base is the number of attempts in call at the start.
-	base int
+	// base is the number of attempts in call at the start. isRefused is set once an attempt was
+	// refused that does not count.
+	base      int
+	isRefused bool
 
 	mu sync.Mutex
 	// stop ends the search under way; nil means that there is none.
@@ -220,11 +222,16 @@
 	return n.readAhead(at)
 }
 
-// recordOutcome records how an attempt of the search has failed.
+// recordOutcome records how an attempt of the search has failed. As for other attempts, one that a
+// runner refuses does not use up the last one.
 func (n *successor) recordOutcome(f *responder.Failure) {
 	if f.Outcome == responder.Unknown {
 		n.call.mayHaveRun = true
 	}
+	if f.Reason == responder.ReasonRefused && !n.isRefused {
+		n.isRefused = true
+		n.call.attempts -= extraRefusedSends
+	}
 }
 
 // send sends the call to the target of a slot.
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -109,3 +109,13 @@
 		})
 	}
 }
+
+// TestRefusedSuccessorIsReplaced checks that a stream whose runner is silent for good goes on at a third
+// runner if the second refused it.
+func TestRefusedSuccessorIsReplaced(t *testing.T) {
+	k := newTakeover(t, &silenceCase{Type: "stream", MaxAttempts: 2, Runners: 4, Budget: 9, Runs: []string{"stream 1-4 hang", "refuse", "stream 4-6 end"}})
+	failure := k.call(t)
+	if n := strings.Count(k.body.String(), "\n\n"); failure != nil || n != 6 {
+		t.Errorf("%d events, failure %v", n, failure)
+	}
+}
