A block ends no stream that has moved to another runner

What callers saw: a stream that had got events ended in the middle, with reason prompt_part_blocked, once a part of its prompt was blocked. Cause: a block cancels requests without events. A stream that goes on in place of a silent attempt has an entry of its own at the breaker; the entry of the request still had no event if the first runner had sent none. Change: events of any attempt count for the request too. Evidence: TestBlockEndsNoStreamThatHasMoved failed with "3 events, failure prompt_part_blocked (unknown)" and holds now.

--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -54,8 +54,9 @@
 	// Timing records the waiting time and the progress of the response.
 	Timing Timing
 
-	// guard tells the breaker what happens to the call.
-	guard *breaker.Call
+	// guard tells the breaker what happens to the current attempt, and admitted to the call, which
+	// has events once any attempt has. They differ if the attempt was sent beside another one.
+	guard, admitted *breaker.Call
 	// attempts is the number of times that the call may have reached a runner.
 	attempts int
 	// tried lists the IDs of the targets that were chosen, in order.
@@ -129,6 +130,14 @@
 	c.guard.Break()
 }
 
+// recordEvents records that the runner of the current attempt has sent events.
+func (c *Call) recordEvents(n int) {
+	c.guard.RecordEvents(n)
+	if c.admitted != nil && c.admitted != c.guard {
+		c.admitted.RecordEvents(n)
+	}
+}
+
 // Attempts returns the number of times that the call may have reached a runner.
 func (c *Call) Attempts() int { return c.attempts }
 
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -73,7 +73,7 @@
 		return r.finalize(ctx, c, blockedFailure(c, responder.NotRun, err))
 	}
 	defer guard.Done()
-	c.guard = guard
+	c.guard, c.admitted = guard, guard
 	budget := r.Budget(c.Service)
 	if !c.isDelivered {
 		budget.Earn()
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -114,7 +114,7 @@
 	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		s.hasEvent = true
-		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
+		c.recordEvents(bytes.Count(s.pending[:valid], eventEnd))
 		r.writeHeader(a, s, at.response)
 		if err := a.Write(s.pending[:valid]); err != nil {
 			return c.failure(statusCallerGone, responder.Unknown, responder.ReasonCallerGone, err.Error())
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 )
 
@@ -110,6 +111,20 @@
 	}
 }
 
+// TestBlockEndsNoStreamThatHasMoved checks that a stream which goes on at another runner, after the first
+// one had sent nothing, is not ended once a part of its prompt is blocked.
+func TestBlockEndsNoStreamThatHasMoved(t *testing.T) {
+	k := newTakeover(t, &silenceCase{Type: "stream", MaxAttempts: 2, Runners: 3, Budget: 9, Runs: []string{"mute", "stream 1-4 pause"}})
+	k.write = func() error {
+		k.relayer.Breaker.Receive(&breaker.Report{Blocks: map[string]breaker.ReportedBlock{"p": {LengthMS: 5000}}})
+		return nil
+	}
+	failure := k.call(t)
+	if n := strings.Count(k.body.String(), "\n\n"); failure != nil || n != 4 {
+		t.Errorf("%d events, failure %v", n, failure)
+	}
+}
+
 // TestRefusedSuccessorIsReplaced checks that a stream whose runner is silent for good goes on at a third
 // runner if the second refused it.
 func TestRefusedSuccessorIsReplaced(t *testing.T) {
