Resume a stream for as long as its replica counts as healthy

What callers saw (the product's own interface): a begun stream ended with stream_broken 0.5 s after its connection had broken, if the replica accepted none in that time, with the caller's time left; the node then asked the replica to end its work. Cause: five vain tries, 0.1 s apart, were taken for the end of the replica, and no other one can go on with the stream. The same class as in docs/incidents/lost-beside-silent-runners.md: work is ended on a belief. Change: while the replica counts as healthy and does not answer, it is tried for as long as the caller waits. A replica without proof of health is given up after five tries as before, and so is one that has resumed the stream five times. Evidence: TestStreamOutlivesAReplicaOutOfReach failed with '"reason":"stream_broken"' after 0.51 s and holds now.

--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// maxResumes bounds how often a stream is resumed, and how often in vain at a replica that does
+	// not count as healthy.
 	maxResumes      = 5
 	resumeTimeout   = 3 * time.Second
 	resumePause     = 100 * time.Millisecond
@@ -65,8 +67,9 @@
 	writer    *responseWriter
 	sentAt    time.Time
 
-	// next is the number of the next expected event.
-	next int
+	// next is the number of the next expected event, and resumed how often the replica has resumed
+	// the stream.
+	next, resumed int
 	// sawFinish is true if the last event is the final one: its finish_reason is not
 	// null.
 	sawFinish bool
@@ -74,11 +77,12 @@
 	buf []byte
 }
 
-// run relays events until the end of the stream. It resumes a broken stream up to
-// maxResumes times.
+// run relays events until the end of the stream. It resumes a broken stream up to maxResumes
+// times. No other replica can go on, so while this one counts as healthy and does not answer, it
+// is tried for as long as the caller waits.
 func (s *relay) run(ctx context.Context, body io.Reader) *responder.Failure {
 	err := s.relayEvents(body)
-	for n := 0; err != nil && s.canResume(ctx, err) && n < maxResumes; n++ {
+	for n := 0; err != nil && s.canResume(ctx, err) && (n < maxResumes || s.target.replica.IsHealthy()); n++ {
 		if !repeater.Sleep(ctx, resumePause) {
 			break
 		}
@@ -100,9 +104,10 @@
 }
 
 // canResume reports whether the stream can be resumed after err: it broke or lacks an
-// event, it comes from a replica, and at least one event has been relayed.
+// event, it comes from a replica, which has not resumed it too often, and at least one event has
+// been relayed.
 func (s *relay) canResume(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && !s.target.isPeer && s.next > 0 && (err == errBroken || err == errGap)
+	return ctx.Err() == nil && !s.target.isPeer && s.next > 0 && s.resumed < maxResumes && (err == errBroken || err == errGap)
 }
 
 // resume requests the events after the last one received from the replica, and relays
@@ -127,6 +132,7 @@
 	if !isEventStream(resp) {
 		return trace.NotFound("the replica no longer has the stream")
 	}
+	s.resumed++
 	return s.relayEvents(resp.Body)
 }
 
