--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -74,7 +74,7 @@
 		return r.finalize(l.work, c, blockedFailure(c, responder.NotRun, err))
 	}
 	defer guard.Done()
-	c.guard = guard
+	c.guard, c.admitted = guard, guard
 	budget := r.Budget(c.Service)
 	if !c.isDelivered {
 		budget.Earn()
@@ -248,7 +248,7 @@
 		c.recordBreak(slot)
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
-	if !at.recordProgress() {
+	if !at.record(whole) {
 		return r.stallFailure(ctx, c, slot)
 	}
 	c.guard.Complete()
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -72,7 +72,7 @@
 		case errors.Is(readErr, io.EOF) && at.response.EndsWithConnection && !s.hasEvent:
 			return r.streamFailure(c, at, errNoEvent)
 		case errors.Is(readErr, io.EOF) && len(s.pending) == 0:
-			if !at.recordProgress() {
+			if !at.record(whole) {
 				return r.stallFailure(at.ctx, c, at.slot)
 			}
 			at.slot.RecordSuccess()
@@ -108,13 +108,13 @@
 		}
 		return nil
 	}
-	if !at.recordProgress() {
+	if !at.record(partial) {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
 	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		s.hasEvent = true
-		c.guard.RecordEvents(bytes.Count(s.pending[:valid], eventEnd))
+		c.recordEvents(bytes.Count(s.pending[:valid], eventEnd))
 		r.writeHeader(a, s, at.response)
 		if err := a.Write(s.pending[:valid]); err != nil {
 			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonCallerGone, err.Error())
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -43,15 +43,17 @@
 	// it is in use.
 	seekMu sync.Mutex
 	call   Call
-	// base is the number of attempts in call at the start.
-	base int
+	// base is the number of attempts in call at the start. isRefused is set once an attempt was
+	// refused that does not count.
+	base      int
+	isRefused bool
 
 	mu sync.Mutex
 	// stop ends the search under way; nil means that there is none.
 	stop context.CancelCauseFunc
 	// isSent is set while the call may be at another runner or node.
 	isSent bool
-	// isOver is set once the present attempt has ended by itself.
+	// isOver is set once the present attempt has ended by itself, or its response is whole or useless.
 	isOver bool
 	// next is the attempt that goes on.
 	next *attempt
@@ -72,18 +74,31 @@
 	at.slot.OnStall(func(cause error) { go n.seek(cause) })
 }
 
-// recordProgress records progress of the present attempt, which ends the search. It returns
-// false if another attempt already goes on.
-func (n *successor) recordProgress() bool {
+// progress is what the runner of an attempt has sent.
+type progress int
+
+const (
+	// partial is a part of a response.
+	partial progress = iota
+	// whole is the end of a response: no other attempt is needed any more.
+	whole
+	// useless is a refusal or an error. No other attempt begins, but one that was sent goes on.
+	useless
+)
+
+// record records progress of the present attempt, which ends the search unless it is useless. It
+// returns false if another attempt already goes on.
+func (n *successor) record(p progress) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.next != nil {
 		return false
 	}
 	n.present.slot.RecordProgress()
-	if n.stop != nil {
+	if n.stop != nil && !n.isOver && p != useless {
 		n.stop(errHasProgress)
 	}
+	n.isOver = n.isOver || p != partial
 	return true
 }
 
@@ -207,11 +222,16 @@
 	return n.readAhead(at)
 }
 
-// recordOutcome records how an attempt of the search has failed.
+// recordOutcome records how an attempt of the search has failed. As for other attempts, one that a
+// runner refuses does not use up the last one.
 func (n *successor) recordOutcome(f *responder.Failure) {
 	if f.Outcome == responder.Unknown {
 		n.call.mayHaveRun = true
 	}
+	if f.Reason == responder.ReasonRefused && !n.isRefused {
+		n.isRefused = true
+		n.call.attempts -= extraRefusedSends
+	}
 }
 
 // send sends the call to the target of a slot.
@@ -272,11 +292,12 @@
 }
 
 // end records that the present attempt has ended with a failure, or nil. It returns the attempt
-// that goes on in its place, and waits for the one that may already run.
+// that goes on in its place, and waits for the one that may already run, unless the caller needs none.
 func (n *successor) end(c *Call, failure *responder.Failure) *attempt {
+	isNeeded := failure != nil && failure.Reason != responder.ReasonCallerGone
 	n.mu.Lock()
 	n.isOver = true
-	isSent := n.isSent && failure != nil && n.ctx.Err() == nil
+	isSent := n.isSent && isNeeded && n.ctx.Err() == nil
 	if n.stop != nil && n.next == nil && !isSent {
 		n.stop(nil)
 	}
@@ -289,5 +310,9 @@
 	c.attempts += n.call.attempts - n.base
 	c.tried, c.triedPeers = n.call.tried, n.call.triedPeers
 	c.mayHaveRun = c.mayHaveRun || n.call.mayHaveRun
+	if !isNeeded {
+		n.next.close()
+		return nil
+	}
 	return n.next
 }
