--- a/internal/peer/beater/odd_objects_test.go
+++ b/internal/peer/beater/odd_objects_test.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// FuzzDatagrams checks that no datagram makes a node panic.
-func FuzzDatagrams(f *testing.F) {
+// FuzzPeerObjects checks that no datagram with objects makes a node panic, also as it sends next.
+func FuzzPeerObjects(f *testing.F) {
 	for _, x := range readOdd(f) {
 		for _, message := range oddMessages(f, x) {
 			f.Add(message)
