Close the listeners of a stopping node once the balancer has moved on

A refused connection costs a caller less: it goes to another node at once.

Cause: since late requests are refused and not dropped, the listeners stayed open to the end of the stop.

--- a/internal/node/server/connections_test.go
+++ b/internal/node/server/connections_test.go
@@ -45,7 +45,7 @@
 	x := &stopCase{Route: "brief", Runner: "ok"}
 	n := newStoppingNode(t, x)
 	l := &heldListener{Listener: listenForStop(t), arrived: make(chan struct{}, 1), release: make(chan struct{})}
-	go func() { _ = n.callerServer.Serve(l) }()
+	go func() { _ = n.callers.server.Serve(l) }()
 	c := x.dial(t, l.Addr().String())
 	responses := bufio.NewReader(c)
 	for _, isHeld := range []bool{false, true} {
@@ -55,7 +55,7 @@
 		}
 		if isHeld {
 			<-l.arrived
-			go n.stop(n.callerServer, n.deliveryServer)
+			go n.stop(n.callers, n.deliveries)
 			time.Sleep(stopGrace/2 + 200*time.Millisecond)
 			close(l.release)
 		}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -154,10 +154,10 @@
 	if err != nil {
 		return err
 	}
-	callerServer, deliveryServer := n.callerServer(), n.deliveryServer()
+	callers, deliveries := &port{n.callerServer(), callerListener}, &port{n.deliveryServer(), deliveryListener}
 	go serve(readyServer, readyListener, failed)
-	go serve(callerServer, callerListener, failed)
-	go serve(deliveryServer, deliveryListener, failed)
+	go callers.serve(failed)
+	go deliveries.serve(failed)
 	if n.Settings.MetricsAddress != "" {
 		if l, err := n.listen(n.Settings.MetricsAddress); err != nil {
 			n.Log.Warn("cannot listen on metrics address, running without metrics", "error", err)
@@ -170,7 +170,7 @@
 	case err := <-failed:
 		return fmt.Errorf("run the node: %w", err)
 	}
-	n.stop(callerServer, deliveryServer)
+	n.stop(callers, deliveries)
 	return nil
 }
 
--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -112,11 +112,19 @@
 	return relayer.StopFailure(c, responder.NotRun)
 }
 
+// port is a server with the listener of its connections.
+type port struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (p *port) serve(failed chan<- error) { serve(p.server, p.listener, failed) }
+
 // stop stops the node gracefully. The node reports that it is not ready, removes its
-// entry from the store, accepts requests until the load balancer no longer sends new
+// entry from the store, accepts connections until the load balancer no longer sends new
 // ones, and finishes the requests in progress. Each request that it has read gets its
 // final answer before the grace period ends.
-func (n *Node) stop(callers, deliveries *http.Server) {
+func (n *Node) stop(ports ...*port) {
 	started := time.Now()
 	times := newStopTimes(started, n.bounds().GracePeriod)
 	n.stopTimes.Store(times)
@@ -126,11 +134,15 @@
 	defer cancel()
 	go n.announcer.Withdraw(ctx)
 	time.Sleep(time.Until(times.balancerLeft))
+	for _, p := range ports {
+		_ = p.listener.Close()
+	}
 	n.connections.awaitEnd(ctx)
 	if open := n.connections.endIdle(); open > 0 {
 		n.Log.Warn("grace period is ending, aborting requests in progress", "requests", n.activeRequests.Load(), "connections", open)
 	}
-	_ = callers.Close()
-	_ = deliveries.Close()
+	for _, p := range ports {
+		_ = p.server.Close()
+	}
 	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
 }
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -88,28 +88,26 @@
 // stoppingNode is a node with a runner, or another node, that counts what it gets.
 type stoppingNode struct {
 	*Node
-	callers, deliveries net.Listener
-	callerServer        *http.Server
-	deliveryServer      *http.Server
+	callers, deliveries *port
 	sends, leftMS       atomic.Int64
 }
 
 func (x *stopCase) check(t *testing.T) {
 	n := newStoppingNode(t, x)
 	startsAt := time.Now().Add(700 * time.Millisecond)
-	address := n.callers.Addr().String()
+	address := n.callers.listener.Addr().String()
 	if x.FromNode {
-		address = n.deliveries.Addr().String()
+		address = n.deliveries.listener.Addr().String()
 	}
 	time.Sleep(time.Until(startsAt.Add(time.Duration(x.DialMS-50) * time.Millisecond)))
 	if x.Busy || x.Full {
-		first := x.dial(t, n.callers.Addr().String())
+		first := x.dial(t, n.callers.listener.Addr().String())
 		_, _ = io.WriteString(first, x.request("first"))
 		time.Sleep(50 * time.Millisecond)
 	}
 	stopped := make(chan time.Time, 1)
 	time.AfterFunc(time.Until(startsAt), func() {
-		n.stop(n.callerServer, n.deliveryServer)
+		n.stop(n.callers, n.deliveries)
 		stopped <- time.Now()
 	})
 	time.Sleep(time.Until(startsAt.Add(time.Duration(x.DialMS) * time.Millisecond)))
@@ -219,10 +217,10 @@
 	}
 	n.hearPeer(t)
 	n.catalog.Store(stopCatalog())
-	n.callerServer, n.deliveryServer = n.Node.callerServer(), n.Node.deliveryServer()
-	n.callers, n.deliveries = listenForStop(t), listenForStop(t)
-	go func() { _ = n.callerServer.Serve(n.callers) }()
-	go func() { _ = n.deliveryServer.Serve(n.deliveries) }()
+	n.callers, n.deliveries = &port{n.callerServer(), listenForStop(t)}, &port{n.deliveryServer(), listenForStop(t)}
+	for _, p := range []*port{n.callers, n.deliveries} {
+		go func() { _ = p.server.Serve(p.listener) }()
+	}
 	return n
 }
 
@@ -324,3 +322,24 @@
 		}
 	})
 }
+
+// TestStoppingNodeTakesNoNewConnections guards against callers that connect to a node which then
+// refuses them, once the load balancer has moved on.
+func TestStoppingNodeTakesNoNewConnections(t *testing.T) {
+	t.Parallel()
+	x := &stopCase{Route: "post", Runner: "silent"}
+	n := newStoppingNode(t, x)
+	c := x.dial(t, n.callers.listener.Addr().String())
+	if _, err := io.WriteString(c, x.request("q")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	go n.stop(n.callers, n.deliveries)
+	time.Sleep(stopGrace/2 + 200*time.Millisecond)
+	for _, p := range []*port{n.callers, n.deliveries} {
+		if late, err := net.Dial("tcp4", p.listener.Addr().String()); err == nil {
+			_ = late.Close()
+			t.Errorf("%s takes a new connection", p.listener.Addr())
+		}
+	}
+}
