Count the end of a runner although other runners are missing too

What callers saw: requests of order-desk, which has three runners, failed or were refused again and again while one request crashed the runners one after the other. Cause: the breaker counts a crash only if the runner has ended, and a node does not believe that of a runner that it has lost together with others, since it may have lost its own links. Ruled out: changes of the configuration (the same without any), late reports (all nodes log the other ends within 150 ms), fingerprints (one key throughout), a retry after a failed dial, a handed-over request (delivered ones only met refused connections). Change: where a node misses others too, it asks the other nodes with its heartbeats, as planners do already. They probe the runner and tell whether it answers or refuses. It has ended if one finds it refusing and none reaches it within a second. Before: TestEndOfRunnerIsSeenWhileOthersAreMissing failed in four cases of eight ("ends_test.go:75: the runner has ended: false, want true"); the four with lost links held before and hold now.

--- a/internal/node/server/indirect_probes.go
+++ b/internal/node/server/indirect_probes.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"marjorammoor/internal/fleet/former"
 )
 
 const (
@@ -21,25 +23,34 @@
 	mu        sync.Mutex
 	startedAt map[string]time.Time
 	// ownAnswers and peerAnswers hold the time of the last answer to this node and
-	// to any other node, by runner ID.
+	// to any other node, by runner ID. ownRefusals hold when a runner has refused this
+	// node's connection since then.
 	ownAnswers  map[string]time.Time
+	ownRefusals map[string]time.Time
 	peerAnswers map[string]time.Time
 }
 
 // probeAll probes the runners that do not answer another node. unreachable holds
 // their addresses by runner ID.
-func (d *indirectProbes) probeAll(unreachable map[string]string, probe func(id, address string) bool) {
+func (d *indirectProbes) probeAll(unreachable map[string]string, probe func(id, address string) former.ProbeResult) {
 	for id, address := range unreachable {
 		if !d.startProbe(id) {
 			continue
 		}
-		go func() {
-			if probe(id, address) {
-				d.mu.Lock()
-				d.ownAnswers[id] = time.Now()
-				d.mu.Unlock()
-			}
-		}()
+		go func() { d.recordResult(id, probe(id, address)) }()
+	}
+}
+
+func (d *indirectProbes) recordResult(id string, result former.ProbeResult) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch result {
+	case former.Reachable:
+		d.ownAnswers[id] = time.Now()
+		delete(d.ownRefusals, id)
+	case former.Refused:
+		d.ownRefusals[id] = time.Now()
+		delete(d.ownAnswers, id)
 	}
 }
 
@@ -48,7 +59,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.startedAt == nil {
-		d.startedAt, d.ownAnswers, d.peerAnswers = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+		d.startedAt, d.ownAnswers, d.ownRefusals = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	}
 	if time.Since(d.startedAt[id]) < indirectProbeInterval {
 		return false
@@ -57,14 +68,20 @@
 	return true
 }
 
-// answered returns the runners that answered this node within probeAnswerLifetime.
-func (d *indirectProbes) answered() []string {
+// results returns the runners that answered this node within probeAnswerLifetime, and
+// those that refused its connections.
+func (d *indirectProbes) results() (answered, refused []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return recent(d.ownAnswers), recent(d.ownRefusals)
+}
+
+// recent returns the runners with a time within probeAnswerLifetime, and forgets the others.
+func recent(times map[string]time.Time) []string {
 	list := []string{}
-	for id, at := range d.ownAnswers {
+	for id, at := range times {
 		if time.Since(at) > probeAnswerLifetime {
-			delete(d.ownAnswers, id)
+			delete(times, id)
 			continue
 		}
 		list = append(list, id)
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -111,6 +111,7 @@
 	hasRunnerList      atomic.Bool
 	activeRequests     atomic.Int64
 	indirectProbes     indirectProbes
+	witnesses          witnesses
 	runnerSummary      runnerSummary
 	sights             storeSights
 	// suspects holds the time of the last suspicion by runner ID.
@@ -295,17 +296,19 @@
 	return rate * n.bounds().LoadWindow.Seconds() * n.bounds().LoadOvershoot
 }
 
-// probe reports whether a runner answers a probe in time.
-func (n *Node) probe(id, address string) bool {
-	return n.probeResult(id, address) == former.Reachable
-}
-
 // hasEnded reports whether a runner accepts no connections any more. One that this node has
-// lost together with others may serve on.
+// lost together with others may serve on, as far as this node can tell.
 func (n *Node) hasEnded(r breaker.Runner) bool {
-	return !n.observer.IsGroupLost(r.Address) && n.probeResult(r.ID, r.Address) == former.Refused
+	if n.probeResult(r.ID, r.Address) != former.Refused {
+		return false
+	}
+	if isAlone := len(n.beater.Nodes("")) == 1; isAlone || !n.observer.IsGroupLost(r.Address) {
+		return true
+	}
+	return n.witnesses.ask(r.ID, r.Address)
 }
 
+// probeResult probes a runner and returns what came of it in time.
 func (n *Node) probeResult(id, address string) former.ProbeResult {
 	ctx, stop := context.WithTimeout(context.Background(), indirectProbeTimeout)
 	defer stop()
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -82,6 +82,9 @@
 	// LeavingRunners are the runners that have lately told the node in a response that they
 	// leave, with the times of their starts.
 	LeavingRunners map[string]int64 `cbor:"29,keyasint,omitempty"`
+	// Refusing are the runners from other nodes' Unreachable that refuse this node's
+	// connections.
+	Refusing []string `cbor:"30,keyasint,omitempty"`
 	// Echo is SentAt of the last heartbeat that the sender had received from the
 	// receiver, or 0. The facts of the heartbeat are not older than that time on the
 	// receiver's clock.
--- a/internal/peer/beater/schedule.go
+++ b/internal/peer/beater/schedule.go
@@ -133,5 +133,5 @@
 // isEmpty reports whether a heartbeat tells only that its node is live.
 func (b *Heartbeat) isEmpty() bool {
 	return !b.Leaving && len(b.InFlight)+len(b.InFlightTotals)+len(b.Demand)+len(b.Failing)+len(b.Limits)+len(b.Unreached)+len(b.LeavingRunners) == 0 &&
-		len(b.Suspects)+len(b.Unreachable)+len(b.Reachable)+b.Loads == 0 && !b.Breaker.IsUrgent()
+		len(b.Suspects)+len(b.Unreachable)+len(b.Reachable)+len(b.Refusing)+b.Loads == 0 && !b.Breaker.IsUrgent()
 }
