Do not end an answer that has begun because its request is blocked

What callers saw: a request got 502 although its runner had begun to answer it: the header of the response, or all of it but the last byte, was here. Among them requests that must not be repeated and that had run. Cause: when a key is blocked, the breaker cancels the calls that share it and have sent no event. A response that is no stream has no events, and a stream has none between its header and the first one, so both counted as if the runner were silent. Decided: calls that wait for a runner, and those at a runner that has sent nothing, are still cancelled: three runners have ended under their key, most would end another one with all that it serves, and one that may have run is reported as unknown. One whose runner has begun the response is left alone. It costs at most its own runner, which has begun to write anyway, and if it completes it proves the key sound and lifts the block; its end would have destroyed that proof. New sends stay refused, so the bound on requests that reach runners does not change.

--- a/internal/serving/breaker/block.go
+++ b/internal/serving/breaker/block.go
@@ -98,8 +98,9 @@
 	}
 }
 
-// cancelCalls cancels the calls with a key that has been blocked, if no event has been
-// received for them yet.
+// cancelCalls cancels the calls with a key that has been blocked, unless their runners have
+// begun the response: most would end their runners, but one that is answered may be sound, and
+// then lifts the block.
 func (b *Breaker) cancelCalls(blocked []*BlockedError) {
 	if len(blocked) == 0 {
 		return
@@ -107,7 +108,7 @@
 	b.calls.Each(func(c *Call, _ struct{}) bool {
 		keys := c.keys()
 		for _, err := range blocked {
-			if slices.Contains(keys, err.Key) && !c.hasEvents() {
+			if slices.Contains(keys, err.Key) && !c.isBeingAnswered() {
 				c.cancel(err)
 			}
 		}
--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -28,16 +28,17 @@
 	keys func() []string
 
 	mu sync.Mutex
-	// runner is the runner of the current attempt, sentAt when it was sent, and events the
-	// number of events that the runner has sent.
-	runner Runner
-	sentAt time.Time
-	events int
+	// runner is the runner of the current attempt, sentAt when it was sent, isAnswered whether
+	// the runner has begun its response, and events the number of events that it has sent.
+	runner     Runner
+	sentAt     time.Time
+	isAnswered bool
+	events     int
 }
 
 // Admit registers a request until Done is called. It returns a *BlockedError if the
 // request or one of its parts is blocked. cancel is called with such an error if it is
-// blocked before an event was received.
+// blocked before a runner has begun its response.
 func (b *Breaker) Admit(q Request, cancel func(cause error)) (*Call, error) {
 	c := &Call{breaker: b, request: q, cancel: cancel}
 	c.keys = sync.OnceValue(q.keys)
@@ -75,16 +76,25 @@
 // *BlockedError if it is blocked meanwhile; the request must not be sent.
 func (c *Call) Start(r Runner) error {
 	c.mu.Lock()
-	c.runner, c.sentAt, c.events = r, c.breaker.now(), 0
+	c.runner, c.sentAt, c.isAnswered, c.events = r, c.breaker.now(), false, 0
 	c.mu.Unlock()
 	return c.breaker.checkIfAlert(c, true)
 }
 
+// RecordResponse records that the runner has begun its response. The request is not cancelled
+// any more: it may be sound.
+func (c *Call) RecordResponse() {
+	c.mu.Lock()
+	c.isAnswered = true
+	c.mu.Unlock()
+}
+
 // RecordEvents records that the runner has sent events.
 func (c *Call) RecordEvents(n int) {
 	c.mu.Lock()
 	before := c.events
 	c.events += n
+	c.isAnswered = true
 	isSound := before < soundEvents && c.events >= soundEvents
 	c.mu.Unlock()
 	if isSound {
@@ -137,8 +147,8 @@
 	}
 }
 
-func (c *Call) hasEvents() bool {
+func (c *Call) isBeingAnswered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.events > 0
+	return c.isAnswered
 }
--- a/internal/serving/breaker/doc.go
+++ b/internal/serving/breaker/doc.go
@@ -11,7 +11,7 @@
 // that it explains no longer count against other keys. Of keys with as many ends, the one
 // that the fewest sound requests have is blocked, which is the request itself.
 //
-// Blocked requests are refused as not run, and those that have sent no event
+// Blocked requests are refused as not run, and those to which no runner has begun a response
 // yet are cancelled. When the block is over, one node tries one request. If its runner
 // ends too, the key is blocked again, for twice as long.
 //
@@ -25,6 +25,7 @@
 //	}
 //	defer call.Done()
 //	err = call.Start(breaker.Runner{ID: id, Address: address}) // before each send
+//	call.RecordResponse()
 //	call.RecordEvents(1)
 //	call.Complete() // or call.Break() if the runner closed the connection
 package breaker
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -77,9 +77,11 @@
 	c.attempts = max(c.attempts, deliverer.ParseAttempts(response.Header))
 	c.stage = StageBody
 	inspection := r.Wire.Inspect(response.Status, response.Header)
-	switch {
-	case !inspection.Verified || inspection.Encoded:
+	if !inspection.Verified || inspection.Encoded {
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
+	}
+	c.guard.RecordResponse()
+	switch {
 	case c.Route.Type == matcher.Stream && response.Status == http.StatusOK:
 		return r.relayStream(ctx, c, a, s, nil, response)
 	case s.started:
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -232,6 +232,9 @@
 	case !inspection.Verified || inspection.Encoded:
 		slot.RecordFailure()
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
+	}
+	c.guard.RecordResponse()
+	switch {
 	case c.Route.Type == matcher.Stream && response.Status == http.StatusOK:
 		return r.relayStream(attempt, c, a, s, slot, response)
 	case s.started:
