--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -94,6 +94,7 @@
 		at.slot.RecordFailure()
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
 	}
+	at.guard.RecordResponse()
 	return nil
 }
 
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -90,6 +90,7 @@
 	if !inspection.Verified || inspection.Encoded {
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
 	}
+	at.guard.RecordResponse()
 	return nil
 }
 
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -133,6 +133,7 @@
 	defer func() { c.guard = guard }()
 	c.guard = at.guard
 	if failure == nil {
+		guard.RecordResponse()
 		failure = r.relay(c, a, s, at)
 	}
 	if at.next != nil {
