--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -189,6 +189,9 @@
 	case "gap":
 		write(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
 		_, _ = io.WriteString(w, end)
+	case "torn_hang":
+		write(fmt.Sprintf("id: %d\nda", last+1))
+		time.Sleep(10 * silence)
 	case "torn":
 		write(fmt.Sprintf("id: %d\nda", last+1))
 	case "torn_end":
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -282,7 +282,7 @@
 func (n *successor) offer(at *attempt, cause error) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if context.Cause(at.ctx) != nil || !n.isOver && !n.present.slot.IsStalled() {
+	if context.Cause(at.ctx) != nil {
 		at.close()
 		return false
 	}
