Give the stub platform of the stop tests a probe

Seen once of five runs beside a load of 59 (go test ./internal/node/server -count=5): a nil Probe was called and the test process ended. When a case is over, it closes the connections of its runner; the node takes that for a runner that may have ended and probes it.

--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"marjorammoor/internal/fleet/former"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/beater"
 	"marjorammoor/internal/peer/deliverer"
@@ -185,6 +186,7 @@
 		Platform: &Platform{
 			Store:        &follower.Store{Delete: func(context.Context, string, string) error { return nil }},
 			Eras:         &sequencer.Eras{},
+			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			Wire:         stopWire(),
 			ParseRequest: parseStopRequest,
 			WriteFailure: func(w http.ResponseWriter, f *responder.Failure) {
