--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -186,6 +186,7 @@
 		Platform: &Platform{
 			Store:        &follower.Store{Delete: func(context.Context, string, string) error { return nil }},
 			Eras:         &sequencer.Eras{},
+			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			Wire:         stopWire(),
 			ParseRequest: parseStopRequest,
 			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
