Take a runner's error for no proof that a request is sound

What callers saw: nothing was seen; found by reading. A request that crashes its runners may be answered with an error before its runner comes to what crashes it, as with 504 at the deadline, and such an answer counts as run. Cause: every complete response that was no refusal proved the request and the parts of its prompt sound, an error too. That dropped the evidence of all nodes against it and lifted its block. Change: only a response below 500 proves soundness. A sound request that a runner fails proves nothing, as one that is not sent. Before: TestErrorDoesNotProveRequestSound failed ("blocked_test.go:100: the request has proved sound: true, want false").

--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// Complete records that the runner has sent its whole response.
+// Complete records that the runner has sent its whole response, and that it was no error: one
+// that gives up on a request may not have come to what crashes it.
 func (c *Call) Complete() { c.RecordEvents(soundEvents) }
 
 // Break records that the runner closed the connection before the end of its response.
--- a/internal/serving/relayer/blocked_test.go
+++ b/internal/serving/relayer/blocked_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// TestErrorDoesNotProveRequestSound guards against a crashing request that counts as sound
+// because a runner answered an error before it would have crashed.
+func TestErrorDoesNotProveRequestSound(t *testing.T) {
+	for behavior, isSound := range map[string]bool{"ok": true, "error": false} {
+		t.Run(behavior, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close() //nolint:errcheck
+			go (&scriptedRunners{runs: []string{behavior}}).serve(l)
+			r := newRelayer(t, &faultCase{Runs: []string{behavior}}, l.Addr().String())
+			now := time.Now()
+			c := &Call{
+				ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(2 * time.Second),
+				CallerDeadline: now.Add(2 * time.Second), Route: &matcher.Route{Type: matcher.NonIdempotent, MaxAttempts: 1},
+			}
+			key := "request:" + c.Fingerprint()
+			r.Breaker.Receive(&breaker.Report{Crashes: []breaker.ReportedCrash{{Runner: "gone", AgeMS: 500, Keys: map[string]int{key: 0}}}})
+			_ = r.Serve(t.Context(), c, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }})
+			if _, got := r.Breaker.Report().SoundMS[key]; got != isSound {
+				t.Errorf("the request has proved sound: %v, want %v", got, isSound)
+			}
+		})
+	}
+}
+
 // serve answers one request, and calls block in the middle of the response.
 func (x *blockedCase) serve(l net.Listener, block func()) {
 	const pause = 50 * time.Millisecond
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -321,10 +321,10 @@
 		c.recordBreak(slot)
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
 	}
-	c.guard.Complete()
 	if response.Status >= http.StatusInternalServerError {
 		slot.RecordFailure()
 	} else {
+		c.guard.Complete()
 		slot.RecordSuccess()
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
