Judge a whole request although its runners ended within a moment

What callers saw: stock-lookup was refused or failed for seconds, twice, while one request crashed all three runners of its service. Cause: three ends count only if 0.25 s lie between the first and the last, since runners that fail together with a rack say nothing of their requests. The runners ended at 3.271, 3.356 and 3.461 s, and all nodes knew of the three 0.2 s later. With all runners of the service away there was no fourth end before they were back, when five repeats came within 0.1 s. Ruled out: uncounted ends (all three are logged), late reports. Change: for a whole request, unless it has lately proved sound, 50 ms are enough. A part of a prompt is at many runners at once, so that a rack which fails ends several under it; a request is at few. "a new request that many send, while racks fail" holds before and after: runners that fail together block nothing.

--- a/internal/serving/breaker/breaker_test.go
+++ b/internal/serving/breaker/breaker_test.go
@@ -47,14 +47,16 @@
 }
 
 type scenario struct {
-	Name     string     `json:"name"`
-	Nodes    int        `json:"nodes"`
-	Runners  int        `json:"runners"`
-	ReportMS int        `json:"report_ms"`
-	Loss     float64    `json:"loss"`
-	RunMS    int        `json:"run_ms"`
-	Sources  []source   `json:"sources"`
-	Failures []incident `json:"failures"`
+	Name     string  `json:"name"`
+	Nodes    int     `json:"nodes"`
+	Runners  int     `json:"runners"`
+	ReportMS int     `json:"report_ms"`
+	Loss     float64 `json:"loss"`
+	RunMS    int     `json:"run_ms"`
+	// RestartMS is how long a crashed runner is away; 0 means restartTime.
+	RestartMS int        `json:"restart_ms"`
+	Sources   []source   `json:"sources"`
+	Failures  []incident `json:"failures"`
 	// Crashing is the part or the request that crashes runners between two times.
 	Crashing string `json:"crashing"`
 	FromMS   int    `json:"from_ms"`
@@ -301,7 +303,7 @@
 }
 
 func (s *simulation) crash(r *simRunner) {
-	r.deadUntil = s.now() + restartTime
+	r.deadUntil = s.now() + cmp.Or(time.Duration(s.RestartMS)*time.Millisecond, restartTime)
 	s.breakCalls(r)
 }
 
--- a/internal/serving/breaker/evidence.go
+++ b/internal/serving/breaker/evidence.go
@@ -14,6 +14,9 @@
 	// that fail together, with a rack or a data centre, do not show what their requests
 	// have in common.
 	minSpread = 250 * time.Millisecond
+	// minRequestSpread replaces minSpread for whole requests: each is at few runners, unlike
+	// a part, and rarely at several that fail together.
+	minRequestSpread = 50 * time.Millisecond
 	// minSoundSpread replaces minSpread for keys that have lately proved sound: those
 	// that are used often do so again within this time if they are harmless.
 	minSoundSpread = time.Second
@@ -184,10 +187,18 @@
 	if len(c.crashes) < crashesToBlock || now.Sub(c.reportedAt) < verdictDelay {
 		return false
 	}
-	if c.wasSound {
-		return c.crashes.spread() >= minSoundSpread
+	return c.crashes.spread() >= c.leastSpread()
+}
+
+// leastSpread returns the least time between the first and the last end under the key.
+func (c *candidate) leastSpread() time.Duration {
+	switch {
+	case c.wasSound:
+		return minSoundSpread
+	case isRequest(c.key):
+		return minRequestSpread
 	}
-	return c.crashes.spread() >= minSpread
+	return minSpread
 }
 
 // compareCandidates orders candidates: those that have not lately proved sound come first, then
