--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -189,7 +189,6 @@
 			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			Wire:         stopWire(),
 			ParseRequest: parseStopRequest,
-			Probe:        func(context.Context, former.Member) former.ProbeResult { return former.Reachable },
 			WriteFailure: func(w http.ResponseWriter, f *responder.Failure) {
 				w.Header().Set("Outcome", string(f.Outcome))
 				if f.RetryAfter > 0 {
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -252,10 +252,10 @@
 	if !at.record(whole) {
 		return r.stallFailure(ctx, c, slot)
 	}
-	c.guard.Complete()
 	if response.Status >= http.StatusInternalServerError {
 		slot.RecordFailure()
 	} else {
+		c.guard.Complete()
 		slot.RecordSuccess()
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
