Match the answers of orders and probes to what was asked

A late second answer of a runner on a kept connection passed for the answer to the next order or probe there: "left" for a member that had refused to leave (rule TWO hangs on that). Cause: requests of callers name their attempt and runners repeat it, orders and probes have none, so any answer was theirs. Weighed: an ID of our own for orders and probes. Runners count what they are sent by its ID, and one that no client sent may count as a request that nobody asked for, so it was not tried. Change: an answer that names an attempt belongs to a caller's request and is skipped where none was asked for. Left: a probe may still take a second answer to an earlier probe for its own; both say that the runner answers, and the report that planners read may be that much older.

--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		got := ""
-		if want != "" {
+		if r.EchoHeader != "" {
 			got = response.Header.Get(r.EchoHeader)
 		}
 		if got == want || got == "" && mayBeUnnamed {
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -74,7 +74,8 @@
 	Body   []byte
 	// EchoHeader is the name of a header whose value the server repeats in its response.
 	// A response with another value is skipped, and one without it unless it is the first on
-	// its connection. If empty, no value is compared.
+	// its connection. A request without the header gets no response that has it. If empty, no
+	// value is compared.
 	EchoHeader string
 	// NewConnection forbids the use of an idle connection.
 	NewConnection bool
