Don't take a head that the nodes don't hear for one that has ended

Cause: isHeadGone took a head that had answered no node for the stall time, or that had no entry and had answered none for 1.2 s, for one that had ended. A replica stalls and breaks when its head lacks a member, not when the nodes or the store lack the head. The members' links to it are others.

Change: one type, evidence, for what is known of a member; end() lists what proves that a replica serves no more. A head that is listed is never closed for its silence. One without an entry that answers no node is proof of nothing either: the other members are ordered to leave it, and are free when the stall time and 0.5 s have passed since the first of them confirmed that; the head, wherever it is, has broken by then. A head whose connections are refused is leaving and keeps its members as before. A head that isn't assigned and is silent holds its members too. 30 s without an entry and an answer end a replica without members that answer.

In the world, a VM that has restarted is no longer ended by the end of its earlier start's leaving (it stayed listed for ever, dead).

Price: a runner that falls silent for good holds its members 4.5 s longer. Won back by dating a leave from its answer, and by not ordering the silent head again while the stall time runs.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -212,6 +212,7 @@
 			firstSeen:        map[string]time.Time{},
 			headMissingSince: map[string]time.Time{},
 			headLeft:         map[string]time.Time{},
+			memberLostAt:     map[string]time.Time{},
 			sentAt:           map[orderKey]time.Time{},
 			missedProbes:     map[string]int{},
 			dead:             map[string]bool{},
@@ -318,6 +319,7 @@
 			s.headMissingSince[r.Name] = now
 		}
 	}
+	s.updateLost(d, now)
 	c.pendingLoads.Add(-int64(s.observeRunners(d, now)))
 	pendingLoads := map[string]string{}
 	for id, l := range s.pendingLoads {
@@ -340,6 +342,7 @@
 		FirstSeen:        s.firstSeen,
 		HeadMissingSince: s.headMissingSince,
 		HeadLeft:         s.leftHeads(),
+		MemberLostAt:     s.memberLostAt,
 		StallTime:        c.StallTime(),
 		SilentSince:      s.silentSince,
 		Refusing:         s.refusing,
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -81,18 +81,17 @@
 func (d *decider) advanceForming(r *Replica) {
 	ready := 0
 	for _, m := range r.Members {
-		x := d.runners[m.ID]
+		e := d.evidenceOf(m)
 		switch {
-		case !isMember(x, r):
+		case e.isElsewhere(r):
 			d.order(Order{Operation: Join, Runner: m, Replica: r.Name, Epoch: r.Epoch, Model: r.Model, Members: ids(r.Members)})
-		case x.Membership.State == tracker.MemberReady || x.Membership.State == tracker.MemberOpen:
+		case e.is(r, tracker.MemberReady) || e.is(r, tracker.MemberOpen):
 			ready++
 		}
 	}
-	head := d.runners[r.Members[0].ID]
 	switch {
 	case ready < len(r.Members):
-	case head.Membership.State == tracker.MemberOpen:
+	case d.evidenceOf(r.Members[0]).is(r, tracker.MemberOpen):
 		r.State = Open
 		d.out.Changed = true
 		d.note("replica %s of %s is open", r.Name, r.Model)
@@ -104,32 +103,29 @@
 // advanceClosing orders the head to stop and reports whether the replica has ended
 // and its members are free for other replicas.
 func (d *decider) advanceClosing(r *Replica) bool {
-	head := r.Members[0]
-	x, ok := d.runners[head.ID]
-	if !ok || d.in.Dead[head.ID] {
-		if d.in.HeadLeft[r.Name] || d.isHeadGone(r, ok) {
-			d.note("replica %s is removed: its head is gone", r.Name)
-			return true
+	if proof := d.end(r); proof != "" {
+		d.note("replica %s is removed: %s", r.Name, proof)
+		return true
+	}
+	head := d.evidenceOf(r.Members[0])
+	isOut := head.isMissing() || head.isSilent
+	if d.isSilentAndMissing(r) {
+		d.breakReplica(r)
+		if _, ok := d.in.MemberLostAt[r.Name]; ok {
+			return false
 		}
-		d.order(Order{Operation: Leave, Runner: head, Replica: r.Name, Epoch: r.Epoch})
-		return false
 	}
-	if x.BootTime != head.BootTime || !isMember(x, r) {
-		d.note("replica %s is removed", r.Name)
-		return true
+	if r.Graceful && !isOut && !head.isIn(r) {
+		return false
 	}
-	if d.in.HeadLeft[r.Name] {
-		d.note("replica %s is removed: its head has left", r.Name)
-		return true
+	if r.Graceful && !isOut && head.is(r, tracker.MemberOpen) {
+		d.order(Order{Operation: Close, Runner: head.member, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
+		return false
 	}
-	isServing := x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing
-	if r.Graceful && isServing {
-		if x.Membership.State == tracker.MemberOpen {
-			d.order(Order{Operation: Close, Runner: head, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
-		}
+	if r.Graceful && !isOut && head.is(r, tracker.MemberClosing) {
 		return false
 	}
-	d.order(Order{Operation: Leave, Runner: head, Replica: r.Name, Epoch: r.Epoch})
+	d.order(Order{Operation: Leave, Runner: head.member, Replica: r.Name, Epoch: r.Epoch})
 	return false
 }
 
@@ -169,7 +165,7 @@
 func (d *decider) servingUnassigned(held map[string]bool) map[replicaKey]bool {
 	list := map[replicaKey]bool{}
 	for _, x := range d.in.Runners {
-		if held[x.ID] || !x.HasMembership || x.Membership.Rank != 0 || d.in.HeadLeft[x.Membership.Replica] || d.in.Dead[x.ID] {
+		if held[x.ID] || !x.HasMembership || x.Membership.Rank != 0 || d.in.HeadLeft[x.Membership.Replica] {
 			continue
 		}
 		if x.Membership.State == tracker.MemberOpen || x.Membership.State == tracker.MemberClosing {
--- a/internal/fleet/former/loss.go
+++ b/internal/fleet/former/loss.go
@@ -11,8 +11,8 @@
 	// formSlack is added to the expected load times to get the timeouts for forming
 	// a replica and for staging weights.
 	formSlack = 6 * time.Second
-	// silenceTimeout is how long a head must have answered no node before it is
-	// considered gone. Part of it is needed for other nodes to probe the head.
+	// silenceTimeout is how long a head must have answered no node before it counts as
+	// silent. Part of it is needed for other nodes to probe the head.
 	silenceTimeout = 1200 * time.Millisecond
 	// maxAnswerAge is the longest time since an answer from any runner of the domain
 	// for which the silence of another runner counts.
@@ -30,26 +30,30 @@
 	// after a loss of contact. A runner that is not listed before then may still
 	// serve.
 	relistTime = 3 * time.Second
+	// goneTime is how long a head must have had no entry and answered no node before it is
+	// considered gone without any other proof.
+	goneTime = 30 * time.Second
 )
 
 // closeReason returns why a replica must close, or "" if it need not, and whether it
 // may finish its requests.
 func (d *decider) closeReason(r *Replica) (reason string, graceful bool) {
+	headIsSilent := d.in.Dead[r.Members[0].ID]
 	for i, m := range r.Members {
-		x, ok := d.runners[m.ID]
+		e := d.evidenceOf(m)
 		switch {
-		case !ok && i > 0 && r.State == Open && d.in.UnlistedAlive[m.ID]:
+		case e.hasRestarted():
+			return "member " + m.ID + " has started anew", false
+		case e.isMissing() && i > 0 && r.State == Open && d.in.UnlistedAlive[m.ID]:
 			// The member still answers probes; only its entry in the list is missing.
-		case !ok:
+		case e.isMissing():
 			return "member " + m.ID + " is gone", false
-		case x.BootTime != m.BootTime:
-			return "member " + m.ID + " has started anew", false
-		case d.in.Dead[m.ID]:
-			return "member " + m.ID + " does not answer", false
-		case r.State == Open && !isMember(x, r):
+		case r.State == Open && e.isElsewhere(r):
 			return "member " + m.ID + " is in another replica", false
-		case r.State == Open && x.Membership.State == tracker.MemberBroken:
+		case r.State == Open && e.is(r, tracker.MemberBroken):
 			return "broken", false
+		case e.isSilent && (r.State == Forming || !headIsSilent):
+			return "member " + m.ID + " does not answer", false
 		}
 	}
 	for _, m := range r.Members {
@@ -83,8 +87,8 @@
 // mayOpen reports whether the head of a forming replica may have been ordered to
 // open.
 func (d *decider) mayOpen(r *Replica) bool {
-	head, ok := d.runners[r.Members[0].ID]
-	return !ok || isMember(head, r) && head.Membership.State != tracker.MemberJoining
+	head := d.evidenceOf(r.Members[0])
+	return !head.isListed() || head.isIn(r) && !head.is(r, tracker.MemberJoining)
 }
 
 // formTimeout returns how long a replica of a model may take to form.
@@ -97,18 +101,12 @@
 	return formSlack
 }
 
-// isMember reports whether a runner lists itself as a member of a replica.
-func isMember(x *tracker.Runner, r *Replica) bool {
-	return x.HasMembership && x.Membership.Replica == r.Name && x.Membership.Epoch == r.Epoch
-}
-
-// isHeadGone reports whether a missing head can no longer serve any request. This
-// holds if it is not listed and answers no node, or if it has been missing and
-// silent for longer than the stall time, so that the replica has broken. A head that
-// refuses connections may be leaving and must have no requests in flight. Other
-// runners of the domain must answer probes meanwhile: otherwise this node may have
-// lost contact with a domain that still serves requests of other nodes.
-func (d *decider) isHeadGone(r *Replica, isListed bool) bool {
+// isHeadGone reports whether a head without an entry can no longer serve any request: it
+// refuses connections and has no requests in flight or must have left by now, or it has been
+// silent, without an entry, for longer than any runner that lives. Other runners of the domain
+// must answer probes meanwhile: otherwise this node may have lost contact with a domain that
+// still serves requests of other nodes.
+func (d *decider) isHeadGone(r *Replica) bool {
 	since, ok := d.in.HeadMissingSince[r.Name]
 	if !ok || d.in.AnsweredAgo > maxAnswerAge {
 		return false
@@ -117,19 +115,10 @@
 	if r.MayOpen && missing <= maxOrderDelay {
 		return false
 	}
-	if head := r.Members[0].ID; d.in.Refusing[head] {
+	head := r.Members[0].ID
+	if d.in.Refusing[head] {
 		idle, ok := d.in.IdleSince[head]
-		return !isListed && (ok && d.in.Now.Sub(idle) > minIdleTime || missing > maxLeaveTime)
-	}
-	since, ok = d.in.SilentSince[r.Members[0].ID]
-	if !ok {
-		// The head answers; only its entry in the list is missing. It serves until it
-		// has left.
-		return false
-	}
-	silent := d.in.Now.Sub(since)
-	if missing > d.in.StallTime && silent > d.in.StallTime {
-		return true
+		return ok && d.in.Now.Sub(idle) > minIdleTime || missing > maxLeaveTime
 	}
-	return !isListed && silent > silenceTimeout && d.in.ReachableFor > relistTime
+	return missing > goneTime && d.isSilentAndMissing(r)
 }
--- /dev/null
+++ b/internal/fleet/former/observed_test.go
@@ -0,0 +1,71 @@
+package former
+
+import (
+	"testing"
+	"time"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+// observing returns a controller and its state of a domain with replica d-2, whose head "a" is
+// missing and silent, as it was observed some time ago.
+func observing(ago time.Duration) (*Controller, *domainState, *domain) {
+	service := &matcher.Service{Name: "s", Engine: &matcher.Engine{Models: []matcher.Model{{Name: "m", Size: 2}}}}
+	c := &Controller{
+		View: func() *tracker.View { return &tracker.View{} }, StallTime: func() time.Duration { return time.Second },
+		IsStartup: func() bool { return false }, LoadsPerWindow: func() float64 { return 1 }, PeerLoads: func() int { return 0 },
+	}
+	d := &domain{service: service, name: "d", runners: []*tracker.Runner{{ID: "b", Address: "b", BootTime: 1, State: tracker.Ready}}}
+	s := c.state(d)
+	at := time.Now().Add(-ago)
+	s.assignment = Assignment{Replicas: []Replica{{Name: "d-2", Model: "m", Epoch: 2, State: Closing, Members: []Member{{ID: "a"}, {ID: "b"}}}}}
+	s.headMissingSince["d-2"], s.silentSince["a"], s.missedAt["a"], s.decidedAt = at, at, at, at
+	return c, s, d
+}
+
+// TestSilenceBeforeAPauseDoesNotCount guards against heads that seem gone because this node has
+// not looked for a while.
+func TestSilenceBeforeAPauseDoesNotCount(t *testing.T) {
+	c, s, d := observing(time.Second)
+	if in := c.input(s, d, nil); time.Since(in.HeadMissingSince["d-2"]) < time.Second || len(in.SilentSince) != 1 {
+		t.Errorf("after 1 s: %v, %v", in.HeadMissingSince, in.SilentSince)
+	}
+	c, s, d = observing(maxDecisionGap + time.Second)
+	if in := c.input(s, d, nil); time.Since(in.HeadMissingSince["d-2"]) > time.Second || len(in.SilentSince) != 0 || in.ReachableFor > time.Second {
+		t.Errorf("after a pause: %v, %v, reachable for %v", in.HeadMissingSince, in.SilentSince, in.ReachableFor)
+	}
+}
+
+// TestOldMissesDoNotCount guards against heads that seem silent by probes of long ago.
+func TestOldMissesDoNotCount(t *testing.T) {
+	_, s, _ := observing(missLifetime / 2)
+	s.expireMisses(time.Now())
+	if len(s.silentSince) != 1 {
+		t.Error("a recent miss is forgotten")
+	}
+	_, s, _ = observing(missLifetime + time.Second)
+	s.expireMisses(time.Now())
+	if len(s.silentSince) != 0 {
+		t.Error("an old miss still counts")
+	}
+}
+
+// TestLeaveOfAMemberIsNotItsHeads guards against members that are free because one of them left.
+func TestLeaveOfAMemberIsNotItsHeads(t *testing.T) {
+	c, s, _ := observing(0)
+	at := time.Now()
+	c.applyResult(s, Order{Operation: Leave, Runner: Member{ID: "b"}, Replica: "d-2"}, NoAnswer, at)
+	if len(s.headLeft) != 0 || len(s.memberLostAt) != 0 {
+		t.Errorf("without an answer: %v, %v", s.headLeft, s.memberLostAt)
+	}
+	c.applyResult(s, Order{Operation: Leave, Runner: Member{ID: "b"}, Replica: "d-2"}, Done, at)
+	c.applyResult(s, Order{Operation: Leave, Runner: Member{ID: "b"}, Replica: "d-2"}, Done, at.Add(time.Second))
+	if len(s.headLeft) != 0 || !s.memberLostAt["d-2"].Equal(at) {
+		t.Errorf("a member left: %v, %v", s.headLeft, s.memberLostAt)
+	}
+	c.applyResult(s, Order{Operation: Leave, Runner: Member{ID: "a"}, Replica: "d-2"}, Done, at)
+	if !s.headLeft["d-2"].Equal(at) {
+		t.Errorf("the head left: %v", s.headLeft)
+	}
+}
--- a/internal/fleet/former/send.go
+++ b/internal/fleet/former/send.go
@@ -17,7 +17,7 @@
 // resendInterval, and applies their results.
 func (c *Controller) send(ctx context.Context, s *domainState, d *domain, orders []Order) {
 	now := time.Now()
-	results := make([]Result, len(orders))
+	results, answeredAt := make([]Result, len(orders)), make([]time.Time, len(orders))
 	wg := sync.WaitGroup{}
 	for i, o := range orders {
 		k := orderKey{o.Operation, o.Runner.ID, o.Epoch, o.Model}
@@ -38,6 +38,7 @@
 			callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 			defer cancel()
 			results[i] = c.Send(callCtx, o)
+			answeredAt[i] = time.Now()
 			metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_orders_total{operation=%q}`, string(o.Operation))).Inc()
 			c.Log.Info("order sent", "domain", d.name, "operation", o.Operation, "runner", o.Runner.ID, "replica", o.Replica,
 				"epoch", o.Epoch, "fence", o.Fence, "model", o.Model, "result", results[i].String())
@@ -45,7 +46,7 @@
 	}
 	wg.Wait()
 	for i, o := range orders {
-		c.applyResult(s, o, results[i])
+		c.applyResult(s, o, results[i], answeredAt[i])
 	}
 }
 
@@ -57,16 +58,19 @@
 	return formSlack
 }
 
-// applyResult updates the domain's state from the result of an order.
-func (c *Controller) applyResult(s *domainState, o Order, result Result) {
+// applyResult updates the domain's state from the result of an order, which came at a time.
+func (c *Controller) applyResult(s *domainState, o Order, result Result, at time.Time) {
 	switch {
 	case result == Fenced:
 		s.hasAssignment = false
 	case o.Operation == Stage && result != Accepted && result != Done && result != NoAnswer:
 		delete(s.pendingLoads, o.Runner.ID)
 		c.pendingLoads.Add(-1)
-	case o.Operation == Leave && result == Done, o.Operation == Leave && result == Misdirected:
-		s.headLeft[o.Replica] = time.Now()
+	case o.Operation != Leave || result != Done && result != Misdirected:
+	case s.isHead(o.Runner.ID, o.Replica):
+		s.headLeft[o.Replica] = at
+	default:
+		s.recordLost(o.Replica, at)
 	}
 }
 
--- a/internal/fleet/former/state.go
+++ b/internal/fleet/former/state.go
@@ -1,6 +1,7 @@
 package former
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,9 @@
 	// headLeft is when a replica's head answered a leave order with Done or
 	// Misdirected, by replica name.
 	headLeft map[string]time.Time
+	// memberLostAt is since when a closing replica is known to lack a member that is not its
+	// head, by replica name.
+	memberLostAt map[string]time.Time
 	// sentAt is when each order was last sent.
 	sentAt map[orderKey]time.Time
 	// missedProbes counts the consecutive probes that a runner missed.
@@ -119,6 +123,11 @@
 			delete(s.headMissingSince, name)
 		}
 	}
+	for name := range s.memberLostAt {
+		if _, ok := since[name]; !ok {
+			delete(s.memberLostAt, name)
+		}
+	}
 	for name, at := range s.headLeft {
 		if _, ok := since[name]; !ok && now.Sub(at) > time.Minute {
 			delete(s.headLeft, name)
@@ -171,6 +180,39 @@
 	return finished
 }
 
+// updateLost records which closing replicas lack a member, by what their members say of
+// themselves.
+func (s *domainState) updateLost(d *domain, now time.Time) {
+	listed := map[string]*tracker.Runner{}
+	for _, r := range d.runners {
+		listed[r.ID] = r
+	}
+	for _, r := range s.assignment.Replicas {
+		if r.State != Closing {
+			continue
+		}
+		for _, m := range r.Members[1:] {
+			if e := (evidence{member: m, entry: listed[m.ID]}); e.hasRestarted() || e.isElsewhere(&r) {
+				s.recordLost(r.Name, now)
+			}
+		}
+	}
+}
+
+// recordLost records that a replica lacks a member, unless that is known.
+func (s *domainState) recordLost(replica string, now time.Time) {
+	if _, ok := s.memberLostAt[replica]; !ok {
+		s.memberLostAt[replica] = now
+	}
+}
+
+// isHead reports whether a runner is the head of an assigned replica, or the replica is not
+// assigned.
+func (s *domainState) isHead(id, replica string) bool {
+	i := slices.IndexFunc(s.assignment.Replicas, func(r Replica) bool { return r.Name == replica })
+	return i < 0 || s.assignment.Replicas[i].Members[0].ID == id
+}
+
 // updateUnlisted tracks the non-head members of open replicas that are not listed.
 // It returns those that have not missed enough probes to be considered gone.
 func (s *domainState) updateUnlisted(listed map[string]bool) map[string]bool {
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -162,6 +162,9 @@
 	// HeadMissingSince is the time since which a replica's head has been unlisted or
 	// dead, by replica name.
 	HeadMissingSince map[string]time.Time
+	// MemberLostAt is since when a closing replica is known to lack a member that is not its
+	// head, by replica name.
+	MemberLostAt map[string]time.Time
 	// HeadLeft contains the replicas whose head no longer runs at its address or has
 	// confirmed that it left, by replica name.
 	HeadLeft map[string]bool
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -67,6 +67,22 @@
 	// a copy that is RestoreBack seconds old. Runners write their entries again within 2 s.
 	RestoreEvery float64 `json:"restore_every_s"`
 	RestoreBack  float64 `json:"restore_back_s"`
+	// UnreachedEvery is the mean seconds between two times at which a third of the runners is out
+	// of reach of all controllers for up to UnreachedSeconds, but not of the store and each other.
+	UnreachedEvery   float64 `json:"unreached_every_s"`
+	UnreachedSeconds float64 `json:"unreached_s"`
+	// NodeCutEvery is the mean seconds between two times at which a controller is cut off from
+	// the store for up to NodeCutSeconds.
+	NodeCutEvery   float64 `json:"node_cut_every_s"`
+	NodeCutSeconds float64 `json:"node_cut_s"`
+	// AwayEvery is the mean seconds between two times at which the store is away for up to
+	// AwaySeconds, while entries lapse.
+	AwayEvery   float64 `json:"away_every_s"`
+	AwaySeconds float64 `json:"away_s"`
+	// IsMixed draws by the seed which of the faults there are, and the number of runners.
+	IsMixed bool `json:"mixed"`
+	// CalmSeconds are the last seconds without new faults. After them, repair must have ended.
+	CalmSeconds float64 `json:"calm_s"`
 	// MinOpen is the minimum share of the time during which at least one replica of
 	// each model must be open.
 	MinOpen float64 `json:"min_open"`
@@ -111,6 +127,10 @@
 	// if it has none, until restoredUntil.
 	restored      *tracker.Runner
 	restoredUntil time.Time
+	// unreachedUntil is until when no controller reaches the runner.
+	unreachedUntil time.Time
+	// stalledSince is when the head of an open replica lost a member.
+	stalledSince time.Time
 }
 
 // storeCopy is what the store held at a time.
@@ -147,9 +167,15 @@
 	ticks     int
 	trackers  []*tracker.Tracker
 	services  map[string]*matcher.Service
+	// awayUntil is until when the store is away, and nodeCutUntil the same for one controller.
+	awayUntil    time.Time
+	nodeCutUntil map[int]time.Time
+	// epochs are the names and members that runners were ordered to join, by epoch.
+	epochs map[int64]string
 }
 
 func newWorld(t *testing.T, s scenario, seed uint64) *world {
+	s = s.draw(seed)
 	engine := &matcher.Engine{
 		Slots: 4, LoadsPerSecond: 5, LoadsAtOnce: 7,
 		Models: []matcher.Model{
@@ -160,6 +186,7 @@
 	w := &world{
 		t: t, scenario: s, rand: rand.New(rand.NewPCG(seed, 7)), vms: map[string]*vm{}, engine: engine, start: time.Now(),
 		era: 1, openTicks: map[string]int{}, services: map[string]*matcher.Service{"pool": {Name: "pool", Engine: engine}},
+		nodeCutUntil: map[int]time.Time{}, epochs: map[int64]string{},
 	}
 	for range s.Runners {
 		w.addVM()
@@ -221,8 +248,8 @@
 	time.Sleep(2 * time.Millisecond)
 	w.mu.Lock()
 	v := w.vms[o.Runner.ID]
-	reachable := v != nil && v.alive && !v.refuses && !w.isCutOff
-	late := reachable && w.rand.Float64() < w.scenario.LateShare
+	reachable := v != nil && v.alive && !v.refuses && w.isReached(v)
+	late := reachable && !w.isCalm() && w.rand.Float64() < w.scenario.LateShare
 	delay := time.Duration(2000+w.rand.IntN(10000)) * time.Millisecond
 	w.mu.Unlock()
 	if late {
@@ -312,9 +339,10 @@
 	if v.replica == o.Replica && v.epoch == o.Epoch {
 		return Done
 	}
+	w.checkEpoch(o)
 	if v.replica != "" && len(v.members) > 0 {
 		head := w.vms[v.members[0]]
-		if head.alive && head.replica == v.replica && head.epoch == v.epoch && head.id != v.id && (head.memberState == tracker.MemberOpen || head.memberState == tracker.MemberClosing) {
+		if head.alive && head.replica == v.replica && head.epoch == v.epoch && (head.memberState == tracker.MemberOpen || head.memberState == tracker.MemberClosing) {
 			w.addViolation("%s joins %s while the head %s of %s is %s", v.id, o.Replica, head.id, v.replica, head.memberState)
 		}
 	}
@@ -351,18 +379,21 @@
 }
 
 // store returns a store that holds the simulated domain's assignment and names its era.
-func (w *world) store(eras *sequencer.Eras) *follower.Store {
+func (w *world) store(i int, eras *sequencer.Eras) *follower.Store {
 	write := func(_ context.Context, o follower.Object) (sequencer.Position, error) {
 		time.Sleep(4 * time.Millisecond)
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if w.isStoreAway(i) {
+			return o.At, context.DeadlineExceeded
+		}
 		eras.Observe(w.era)
 		if o.At.Revision != w.revision {
 			return o.At, follower.ErrConflict
 		}
 		w.revision++
 		w.object = slices.Clone(o.Spec)
-		if w.rand.Float64() < w.scenario.LostShare {
+		if !w.isCalm() && w.rand.Float64() < w.scenario.LostShare {
 			return o.At, context.DeadlineExceeded
 		}
 		if !o.At.IsZero() && o.At.Era != w.era {
@@ -375,6 +406,9 @@
 		List: func(context.Context, string, bool) ([]follower.Object, sequencer.Position, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if w.isStoreAway(i) {
+				return nil, sequencer.Position{}, context.DeadlineExceeded
+			}
 			eras.Observe(w.era)
 			if w.revision == 0 {
 				return nil, w.position(), nil
@@ -393,6 +427,9 @@
 			time.Sleep(4 * time.Millisecond)
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if w.isStoreAway(i) {
+				return follower.Object{}, context.DeadlineExceeded
+			}
 			eras.Observe(w.era)
 			if w.revision == 0 {
 				return follower.Object{}, follower.ErrNotFound
@@ -413,11 +450,18 @@
 	mu := sync.Mutex{}
 	go func() {
 		listedEra, restoredAt := int64(0), time.Time{}
+		grace := lapseGrace{}
 		for time.Since(w.start) < time.Duration(w.scenario.Seconds)*time.Second {
 			listedAt := clock()
 			w.mu.Lock()
-			list, written, era := w.runners(), w.writtenRunners(), w.era
+			list, written, era, isAway := w.runners(), w.writtenRunners(), w.era, w.isStoreAway(i)
+			keep := grace.of(w, isAway)
 			w.mu.Unlock()
+			if isAway {
+				tr.Expire()
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
 			eras.Observe(era)
 			if i > 0 {
 				time.Sleep(time.Duration(w.scenario.ViewLag * float64(time.Second)))
@@ -430,7 +474,8 @@
 				tr.Update(written, nil, 0)
 				tr.Expire()
 			default:
-				tr.Replace(list, 0)
+				tr.Replace(list, keep)
+				tr.Expire()
 				listedEra = era
 			}
 			mu.Lock()
@@ -440,7 +485,7 @@
 		}
 	}()
 	return &Controller{
-		View: tr.View, Clock: clock, Services: func() map[string]*matcher.Service { return w.services }, Store: w.store(eras), Send: w.send, Eras: eras,
+		View: tr.View, Clock: clock, Services: func() map[string]*matcher.Service { return w.services }, Store: w.store(i, eras), Send: w.send, Eras: eras,
 		ViewAt: func() time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
@@ -451,7 +496,7 @@
 			v := w.vms[m.ID]
 			result := Reachable
 			switch {
-			case !v.alive, w.isCutOff && !w.scenario.CutResets:
+			case !v.alive, w.isCutOff && !w.scenario.CutResets, time.Now().Before(v.unreachedUntil):
 				result = NoResponse
 			case w.isCutOff:
 				result = Refused
@@ -468,7 +513,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			v := w.vms[m.ID]
-			if !v.alive || v.refuses || w.isCutOff {
+			if !v.alive || v.refuses || !w.isReached(v) {
 				return Report{}, false
 			}
 			membership := tracker.Membership{Replica: v.replica, Epoch: v.epoch, Rank: v.rank, State: v.memberState}
@@ -499,7 +544,8 @@
 	if w.scenario.HandOverEvery == 0 {
 		return true
 	}
-	turn := int(time.Since(w.start).Seconds() / w.scenario.HandOverEvery)
+	now := min(time.Since(w.start).Seconds(), float64(w.scenario.Seconds)-w.scenario.CalmSeconds)
+	turn := int(now / w.scenario.HandOverEvery)
 	return turn%w.scenario.Controllers == i
 }
 
@@ -514,7 +560,7 @@
 			continue
 		}
 		for _, id := range v.members {
-			if m := w.vms[id]; !v.alive || !m.alive || m.replica != v.replica || w.isCutOff {
+			if m := w.vms[id]; !v.alive || !m.alive || m.replica != v.replica || !w.isReached(v) {
 				list[v.id] = true
 			}
 		}
@@ -560,6 +606,7 @@
 	if chance(w.scenario.RestoreEvery) {
 		w.restoreStore()
 	}
+	w.injectLosses(chance)
 }
 
 // keepCopy keeps what the store holds now.
@@ -610,11 +657,14 @@
 // stops some seconds later.
 func (w *world) leaveUnannounced(v *vm) {
 	v.listed, v.refuses = false, true
+	boot := v.bootTime
 	d := time.Duration(3000+w.rand.IntN(6000)) * time.Millisecond
 	go func() {
 		time.Sleep(d)
 		w.mu.Lock()
-		v.alive = false
+		if v.bootTime == boot {
+			v.alive = false
+		}
 		w.mu.Unlock()
 	}()
 }
@@ -711,12 +761,16 @@
 		time.Sleep(100 * time.Millisecond)
 		w.mu.Lock()
 		w.keepCopy()
+		w.breakStalled()
 		if time.Since(w.start) > 12*time.Second {
-			w.injectFaults()
+			if !w.isCalm() {
+				w.injectFaults()
+			}
 			w.countOpen()
 		}
 		w.mu.Unlock()
 	}
+	w.checkRepaired()
 	cancel()
 	time.Sleep(20 * time.Second)
 }
