Tell kept entries from listed ones in all decisions of the planner

Up to four open replicas of a domain lost their members at once.

Cause: the view didn't tell kept entries from listed ones; the list confirmed them all.

Ruled out: the check that the view is confirmed after the assignment was read (it holds; it speaks of listed entries only).

Change: Runner.IsKept marks entries that the store lists no more, or lists in an earlier form after it was restored. evidence.isListed asks for it: a kept entry closes, ends, opens and forms nothing, except that one of a later start proves that the earlier start has ended. Requests use kept entries as before.

--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -143,7 +143,7 @@
 	serving := d.servingUnassigned(held)
 	list := []*tracker.Runner{}
 	for _, x := range d.in.Runners {
-		if held[x.ID] || x.State != tracker.Ready || d.in.Dead[x.ID] {
+		if held[x.ID] || x.State != tracker.Ready || d.in.Dead[x.ID] || x.IsKept {
 			continue
 		}
 		if !x.HasMembership || !serving[keyOf(x)] {
--- a/internal/fleet/former/evidence.go
+++ b/internal/fleet/former/evidence.go
@@ -9,8 +9,8 @@
 // stallMargin is added to the stall time, for the clocks and the checks of runners.
 const stallMargin = 500 * time.Millisecond
 
-// evidence is what is known of one member of a replica: what the runner says of itself, and
-// whether it answers probes.
+// evidence is what is known of one member of a replica: what the runner says of itself and
+// how current that is, and whether it answers probes.
 type evidence struct {
 	member Member
 	// entry is the runner's entry, or nil if there is none.
@@ -24,15 +24,17 @@
 	return evidence{member: m, entry: d.runners[m.ID], isSilent: d.in.Dead[m.ID]}
 }
 
-// isMissing reports whether the store lists no entry of the runner.
+// isMissing reports whether the store lists no entry of the runner and none is kept.
 func (e evidence) isMissing() bool { return e.entry == nil }
 
-// isListed reports whether the store lists the runner, which thus renews its entry.
-func (e evidence) isListed() bool { return e.entry != nil }
+// isListed reports whether the store lists the runner, which thus renews its entry. A kept
+// entry has lapsed since and tells nothing of what the runner does now.
+func (e evidence) isListed() bool { return e.entry != nil && !e.entry.IsKept }
 
-// hasRestarted reports whether the member's start has ended.
+// hasRestarted reports whether the member's start has ended. A later start proves that
+// for good, so that a kept entry of one counts too.
 func (e evidence) hasRestarted() bool {
-	return e.isListed() && e.entry.BootTime != e.member.BootTime
+	return e.entry != nil && e.entry.BootTime > e.member.BootTime || e.isListed() && e.entry.BootTime != e.member.BootTime
 }
 
 // isIn reports whether the runner says that it is a member of a replica now.
--- a/internal/fleet/former/evidence_test.go
+++ b/internal/fleet/former/evidence_test.go
@@ -103,7 +103,7 @@
 		if r.IsMissing {
 			continue
 		}
-		v := &tracker.Runner{ID: id, Address: id, BootTime: cmp.Or(r.BootTime, 2), State: tracker.Ready, StagedModels: []string{"m"}, HasMembership: r.Epoch > 0}
+		v := &tracker.Runner{ID: id, Address: id, BootTime: cmp.Or(r.BootTime, 2), State: tracker.Ready, StagedModels: []string{"m"}, HasMembership: r.Epoch > 0, IsKept: r.IsKept}
 		v.Membership = tracker.Membership{Replica: fmt.Sprintf("d-%d", r.Epoch), Epoch: r.Epoch, Rank: i, State: r.State}
 		in.Runners = append(in.Runners, v)
 	}
--- a/internal/serving/tracker/expire.go
+++ b/internal/serving/tracker/expire.go
@@ -46,3 +46,16 @@
 		t.notify()
 	}
 }
+
+// withAge returns a runner as its entry says, marked as kept if the store does not list that
+// entry now. t.mu must be held.
+func (t *Tracker) withAge(r *Runner) *Runner {
+	_, isRemoved := t.removeAt[r.ID]
+	_, isRestored := t.kept[r.ID]
+	if !isRemoved && !isRestored {
+		return r
+	}
+	kept := *r
+	kept.IsKept = true
+	return &kept
+}
--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -82,6 +82,9 @@
 	Membership   Membership
 	// HasMembership is false for a runner that belongs to no replica.
 	HasMembership bool
+	// IsKept is set if the store does not list the entry any more, or lists an earlier one
+	// after it was restored. It is used for requests, but tells nothing of the present.
+	IsKept bool
 }
 
 // Target is a destination for requests: the head of a replica, or a runner of a
@@ -261,7 +264,7 @@
 	v := &View{Runners: make(map[string]*Runner, len(t.runners)), targets: map[targetKey][]*Target{}, byID: map[string]*Target{}}
 	replicas := map[string][]*Runner{}
 	for id, r := range t.runners {
-		r = t.withLeaving(r)
+		r = t.withAge(t.withLeaving(r))
 		v.Runners[id] = r
 		switch {
 		case r.HasMembership:
