Test: random switches also with handovers, whole responses and slow callers

Requests that are not streams or must not be repeated, callers that read slowly or take no more bytes, and runners that are out of reach of this node half of the time, so that other nodes take requests over.

--- a/internal/serving/relayer/switch_test.go
+++ b/internal/serving/relayer/switch_test.go
@@ -18,6 +18,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/routing/retrier"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
@@ -56,10 +57,21 @@
 	if err != nil {
 		return
 	}
+	_, _ = io.Copy(io.Discard, q.Body)
 	id := q.Header.Get("Id")
-	last, _ := strconv.Atoi(q.Header.Get("Last"))
+	last, _ := strconv.Atoi(q.Header.Get("Last") + q.Header.Get("X-Delivery-Last-Event"))
 	what, at, pause := s.act(id, s.events-last)
 	head := "HTTP/1.1 %d X\r\nId: " + id + "\r\nConnection: close\r\nSigned: 1\r\n%s\r\n"
+	if n, err := strconv.Atoi(q.Header.Get("X-Delivery-Attempts")); err == nil {
+		isRefused := strings.HasSuffix(what, "refuse")
+		if !isRefused {
+			n++
+		}
+		head = strings.Replace(head, "Signed", fmt.Sprintf("X-Delivery-Attempts: %d\r\nSigned", n), 1)
+		if isRefused {
+			head = strings.Replace(head, "Signed", "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: replicas_full\r\nSigned", 1)
+		}
+	}
 	switch what {
 	case "late_refuse", "late_head", "error":
 		time.Sleep(pause)
@@ -72,6 +84,10 @@
 		_, _ = fmt.Fprintf(c, head, 500, "Content-Length: 0\r\n")
 		return
 	}
+	if q.Method == http.MethodPut {
+		s.respondWhole(c, head, what, pause)
+		return
+	}
 	_, _ = fmt.Fprintf(c, head, 200, "Transfer-Encoding: chunked\r\n")
 	for i := last + 1; i <= s.events; i++ {
 		switch {
@@ -89,6 +105,21 @@
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+// respondWhole writes a response that is not a stream.
+func (s *randomRunners) respondWhole(c net.Conn, head, what string, pause time.Duration) {
+	switch what {
+	case "hang":
+		time.Sleep(time.Second)
+		return
+	case "pause", "pauses":
+		time.Sleep(pause)
+	case "break":
+		_, _ = fmt.Fprintf(c, head+"o", 200, "Content-Length: 2\r\n")
+		return
+	}
+	_, _ = fmt.Fprintf(c, head+"ok", 200, "Content-Length: 2\r\n")
+}
+
 // switchTest is a relayer before randomRunners.
 type switchTest struct {
 	*randomRunners
@@ -115,8 +146,18 @@
 	}
 	tr.Replace(list, 0)
 	budget := &retrier.SharedBudget{Ratio: 1, Burst: 1000}
+	// Half of the time, the runners are out of reach of this node and in reach of others.
+	reach := func(balancer.Target) (balancer.Reach, time.Time) {
+		if time.Now().UnixMilli()/100%2 == 0 {
+			return balancer.InReach, time.Time{}
+		}
+		return balancer.CutOff, time.Time{}
+	}
+	peers := func(string, string) []deliverer.Peer {
+		return []deliverer.Peer{{Name: "x", Address: l.Addr().String()}, {Name: "y", Address: l.Addr().String()}}
+	}
 	return &switchTest{s, &Relayer{
-		Balancer: &balancer.Balancer{View: tr.View}, Client: &requester.Client{}, Wire: wire(),
+		Balancer: &balancer.Balancer{View: tr.View, Reach: reach}, Peers: &deliverer.Deliverer{Self: "here", Client: &requester.Client{}, Peers: peers}, Client: &requester.Client{}, Wire: wire(),
 		Breaker: &breaker.Breaker{HasEnded: func(breaker.Runner) bool { return false }, Log: slog.New(slog.DiscardHandler)},
 		Budget:  func(string) *retrier.SharedBudget { return budget }, Log: slog.New(slog.DiscardHandler),
 	}}
@@ -124,46 +165,98 @@
 
 const switchRunners = 6
 
-// call serves one request and checks what its caller gets. If leaves is set, the caller leaves
-// after that time.
-func (s *switchTest) call(t *testing.T, id string, maxAttempts int, leaves time.Duration) {
+// switchCall is one request. The others are set for a caller that leaves after a time, that takes a
+// time for each write, and that fails to write after some.
+type switchCall struct {
+	id          string
+	kind        matcher.RouteType
+	maxAttempts int
+	leaves      time.Duration
+	slow        time.Duration
+	writes      int
+}
+
+func newSwitchCall(id string, random *rand.Rand) *switchCall {
+	kinds := []matcher.RouteType{matcher.Stream, matcher.Stream, matcher.Idempotent, matcher.NonIdempotent}
+	x := &switchCall{id: id, kind: kinds[random.IntN(len(kinds))], maxAttempts: 1 + random.IntN(3), writes: 99}
+	switch random.IntN(8) {
+	case 0, 1:
+		x.leaves = time.Duration(1+random.IntN(120)) * time.Millisecond
+	case 2, 3:
+		x.slow = time.Duration(random.IntN(40)) * time.Millisecond
+	case 4:
+		x.slow, x.writes = 30*time.Millisecond, random.IntN(3)
+	}
+	return x
+}
+
+// call serves a request and checks what its caller gets.
+func (s *switchTest) call(t *testing.T, x *switchCall) {
 	now := time.Now()
 	c := &Call{
-		ID: id, Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(2 * time.Second), CallerDeadline: now.Add(2 * time.Second),
-		Route: &matcher.Route{Type: matcher.Stream, Resumable: true, MaxAttempts: maxAttempts, TargetLatency: time.Second, Patience: time.Second},
+		ID: x.id, Service: "s", Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {x.id}}, Arrived: now, Deadline: now.Add(2 * time.Second), CallerDeadline: now.Add(2 * time.Second),
+		Route: &matcher.Route{Type: x.kind, Resumable: x.kind == matcher.Stream, MaxAttempts: x.maxAttempts, TargetLatency: time.Second, Patience: time.Second},
+	}
+	if x.kind != matcher.Stream {
+		c.Method = http.MethodPut
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	if leaves > 0 {
-		time.AfterFunc(leaves, cancel)
+	if x.leaves > 0 {
+		time.AfterFunc(x.leaves, cancel)
 	}
-	status, body := 0, strings.Builder{}
+	status, body, ended := 0, strings.Builder{}, time.Time{}
 	failure := s.relayer.Serve(ctx, c, &ResponseWriter{
 		Start: func(code int, _ http.Header) { status = code },
-		Write: func(b []byte) error { _, err := body.Write(b); return err },
+		Write: func(b []byte) error {
+			time.Sleep(x.slow)
+			if x.writes--; x.writes < 0 {
+				ended = time.Now()
+				return io.ErrClosedPipe
+			}
+			_, err := body.Write(b)
+			return err
+		},
 	})
-	if late := time.Since(now) - leaves; leaves > 0 && late > 400*time.Millisecond {
-		t.Errorf("%s: ended %v after the caller had left", id, late)
+	if x.leaves > 0 {
+		ended = now.Add(x.leaves)
+	}
+	if late := time.Since(ended); !ended.IsZero() && late > 400*time.Millisecond {
+		t.Errorf("%s: ended %v after the caller had left", x.id, late)
+	}
+	s.checkResponse(t, x, failure, status, body.String(), x.writes < 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := x.maxAttempts
+	if x.kind == matcher.NonIdempotent {
+		most = 1
+	}
+	if s.runs[x.id] > most {
+		t.Errorf("%s: run %d times, wanted %d at most; refused %d times", x.id, s.runs[x.id], most, s.refusals[x.id])
 	}
-	want := strings.Builder{}
-	n := strings.Count(body.String(), "\n\n")
+	if failure != nil && failure.Outcome == responder.NotRun && s.runs[x.id] > 0 {
+		t.Errorf("%s: reported as not run after %d runs: %s", x.id, s.runs[x.id], failure.Message)
+	}
+}
+
+// checkResponse checks that a caller has got a response, each event once and in order, or a failure.
+func (s *switchTest) checkResponse(t *testing.T, x *switchCall, failure *responder.Failure, status int, body string, isCut bool) {
+	want, n := strings.Builder{}, strings.Count(body, "\n\n")
 	for i := range n {
 		_, _ = fmt.Fprintf(&want, "id: %d\ndata: x\n\n", i+1)
 	}
-	isWhole := n == s.events || n == 0 && status == http.StatusInternalServerError
-	if body.String() != want.String() || failure == nil && !isWhole {
-		t.Errorf("%s: got status %d, %d of %d events, failure %v: %q", id, status, n, s.events, failure, body.String())
-	}
-	if failure != nil && strings.Contains(failure.Message, errOutOfOrder.Error()) {
-		t.Errorf("%s: %s", id, failure.Message)
+	isWhole := n == s.events || status == http.StatusInternalServerError
+	if x.kind != matcher.Stream && status == http.StatusOK {
+		isWhole = true
+		if failure == nil && !isCut {
+			want.WriteString("ok")
+		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.runs[id] > maxAttempts {
-		t.Errorf("%s: run %d times, max_attempts is %d, refused %d times", id, s.runs[id], maxAttempts, s.refusals[id])
+	if body != want.String() || failure == nil && !isWhole {
+		t.Errorf("%s: got status %d, %d of %d events, failure %v: %q", x.id, status, n, s.events, failure, body)
 	}
-	if failure != nil && failure.Outcome == responder.NotRun && s.runs[id] > 0 {
-		t.Errorf("%s: reported as not run after %d runs: %s", id, s.runs[id], failure.Message)
+	if failure != nil && strings.Contains(failure.Message, errOutOfOrder.Error()) {
+		t.Errorf("%s: %s", x.id, failure.Message)
 	}
 }
 
@@ -184,12 +277,8 @@
 	for w := range 6 {
 		random := rand.New(rand.NewPCG(seed, uint64(w+1)))
 		workers.Go(func() {
-			for i := range 8 {
-				leaves := time.Duration(0)
-				if random.IntN(4) == 0 {
-					leaves = time.Duration(1+random.IntN(120)) * time.Millisecond
-				}
-				s.call(t, fmt.Sprintf("%d-%d", w, i), 1+random.IntN(3), leaves)
+			for i := range 12 {
+				s.call(t, newSwitchCall(fmt.Sprintf("%d-%d", w, i), random))
 			}
 		})
 	}
