Record progress of a stream together with its last event

What could happen: a stream that had moved got an event again as its first, and ended with 'an event of the stream is out of order'. Cause: progress was recorded before the last event. A search that began in between asked the next runner for the event that was on its way. Change: both are recorded under the lock that a search needs to read the last event. Evidence: TestSuccessorResumesAfterTheLastEvent failed with "progress is recorded, and the last event is not known" and holds now.

--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -108,10 +108,10 @@
 		}
 		return nil
 	}
-	if !at.record(partial) {
+	valid, ok, orderErr := s.advance(at, s.pending[:end])
+	if !ok {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
-	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		s.hasEvent = true
 		c.recordEvents(bytes.Count(s.pending[:valid], eventEnd))
@@ -137,12 +137,22 @@
 	return end + len(eventEnd)
 }
 
+// advance records events of an attempt as progress and the last one of them, both at once, so that
+// an attempt that is sent after the progress resumes after that event. ok is as for attempt.record.
+func (s *stream) advance(at *attempt, events []byte) (valid int, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !at.record(partial) {
+		return 0, false, nil
+	}
+	valid, err = s.checkOrder(events)
+	return valid, true, err
+}
+
 // checkOrder verifies that the event IDs continue the sequence and records the last
 // one. It returns the length in bytes of the events before the first one out of
-// sequence.
+// sequence. s.mu must be held.
 func (s *stream) checkOrder(events []byte) (valid int, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for valid < len(events) {
 		end := valid + bytes.Index(events[valid:], eventEnd)
 		id, ok := eventID(events[valid : end+1])
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
 )
@@ -134,3 +136,39 @@
 		t.Errorf("%d events, failure %v", n, failure)
 	}
 }
+
+// TestSuccessorResumesAfterTheLastEvent checks that progress of a stream is recorded only together with its
+// last event: an attempt that is sent later must not ask for that event again.
+func TestSuccessorResumesAfterTheLastEvent(t *testing.T) {
+	x := &silenceCase{Runners: 2, Budget: 9}
+	r := x.relayer("127.0.0.1:1")
+	slot, err := r.Balancer.Acquire(t.Context(), &balancer.Request{Service: "s", Arrived: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slot.Release()
+	guard, err := r.Breaker.Admit(breaker.Request{}, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, s := newAttempt(t.Context(), guard, slot), &stream{pending: []byte("id: 1\n\n")}
+	at.response = &requester.Response{Status: http.StatusOK, Header: http.Header{}}
+	at.next = &successor{present: at, stream: s}
+	slot.OnStall(func(error) {})
+	r.Balancer.LeaveLost(func(balancer.Target) bool { return true })
+	s.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.forwardEvents(&Call{guard: guard}, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}, s, at)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if !slot.IsStalled() && s.lastID == "" {
+		t.Error("progress is recorded, and the last event is not known")
+	}
+	s.mu.Unlock()
+	<-done
+	if slot.IsStalled() || s.last() != "1" {
+		t.Errorf("stalled %t after event %q", slot.IsStalled(), s.last())
+	}
+}
