Search only new bytes for the end of an event

What callers could see: a node that was busy with one long event of a stream answered others late; an event of 1 MB cost 64 MB of searching. Cause: after each read of 8 KB, all bytes so far were searched again for the end of the event. Change: only the new ones are.

--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -126,9 +126,10 @@
 	buffer := make([]byte, streamBufferSize)
 	for len(at.ahead) <= maxEventSize {
 		n, err := at.response.Body.Read(buffer)
+		searched := len(at.ahead)
 		at.ahead = append(at.ahead, buffer[:n]...)
 		switch {
-		case lastEventEnd(at.ahead) > 0, errors.Is(err, io.EOF) && len(at.ahead) == 0 && !at.response.EndsWithConnection:
+		case lastEventEnd(at.ahead, searched) > 0, errors.Is(err, io.EOF) && len(at.ahead) == 0 && !at.response.EndsWithConnection:
 			return nil
 		case err != nil:
 			return fmt.Errorf("read the first event: %w", err)
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -55,15 +55,16 @@
 // relayStream forwards complete events to the caller until the response ends.
 func (r *Relayer) relayStream(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
 	s.pending, s.hasEvent = append(s.pending[:0], at.ahead...), false
-	if failure := r.forwardEvents(c, a, s, at); failure != nil {
+	if failure := r.forwardEvents(c, a, s, at, 0); failure != nil {
 		return failure
 	}
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, readErr := at.response.Body.Read(buffer)
 		if n > 0 {
+			searched := len(s.pending)
 			s.pending = append(s.pending, buffer[:n]...)
-			if failure := r.forwardEvents(c, a, s, at); failure != nil {
+			if failure := r.forwardEvents(c, a, s, at, searched); failure != nil {
 				return failure
 			}
 		}
@@ -99,9 +100,9 @@
 
 // forwardEvents writes the complete events among the pending bytes to the caller. Only
 // complete events count as progress of the target: single bytes now and then do not
-// keep a stalled stream alive.
-func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
-	end := lastEventEnd(s.pending)
+// keep a stalled stream alive. The first bytes, as many as searched, hold no complete event.
+func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, at *attempt, searched int) *responder.Failure {
+	end := lastEventEnd(s.pending, searched)
 	if end == 0 {
 		if len(s.pending) > maxEventSize {
 			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, errEventTooLarge.Error())
@@ -128,13 +129,15 @@
 	return nil
 }
 
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := bytes.LastIndex(b, eventEnd)
+// lastEventEnd returns the length of the complete events at the start of b, of which the first
+// bytes, as many as searched, hold none. Only the others are searched, since an event may be long.
+func lastEventEnd(b []byte, searched int) int {
+	from := max(searched-len(eventEnd)+1, 0)
+	end := bytes.LastIndex(b[from:], eventEnd)
 	if end < 0 {
 		return 0
 	}
-	return end + len(eventEnd)
+	return from + end + len(eventEnd)
 }
 
 // advance records events of an attempt as progress and the last one of them, both at once, so that
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -160,7 +160,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = r.forwardEvents(&Call{guard: guard}, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}, s, at)
+		_ = r.forwardEvents(&Call{guard: guard}, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}, s, at, 0)
 	}()
 	time.Sleep(50 * time.Millisecond)
 	if !slot.IsStalled() && s.lastID == "" {
