A vain connection uses up no retry beside a silent attempt

What callers saw: a stream whose runner was silent for good ended at its deadline if the runner chosen next refused the connection and that had been the last retry of the budget, although another runner was free. Cause: the search spent a retry before each try; a failed connection costs none elsewhere. Change: a retry that has reached no runner is used for the next try. Evidence: TestVainConnectionsUseUpNoRetry failed with "3 events, failure deadline_expired (unknown)" and holds now.

--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -47,6 +47,8 @@
 	// refused that does not count.
 	base      int
 	isRefused bool
+	// isPaid is set while a retry has been spent that has reached no runner yet.
+	isPaid bool
 
 	mu sync.Mutex
 	// stop ends the search under way; nil means that there is none.
@@ -127,6 +129,7 @@
 			if at != nil && n.offer(at, cause) {
 				return
 			}
+			n.isPaid = n.isPaid && at == nil
 			if n.endSend() {
 				break
 			}
@@ -171,7 +174,7 @@
 		return "attempts"
 	case !n.call.guard.MayRepeat():
 		return "suspect"
-	case !n.budget.HasLeft():
+	case !n.isPaid && !n.budget.HasLeft():
 		return "budget"
 	}
 	return ""
@@ -187,10 +190,11 @@
 	}
 	slot, err := n.relayer.Balancer.Acquire(ctx, request)
 	leaves := errors.Is(err, balancer.ErrUnreachable) && n.canLeave()
-	if err != nil && !leaves || !n.budget.Spend() {
+	if err != nil && !leaves || !n.isPaid && !n.budget.Spend() {
 		slot.Release()
 		return nil
 	}
+	n.isPaid = true
 	n.mu.Lock()
 	n.isSent = true
 	n.mu.Unlock()
@@ -223,8 +227,9 @@
 }
 
 // recordOutcome records how an attempt of the search has failed. As for other attempts, one that a
-// runner refuses does not use up the last one.
+// runner refuses does not use up the last one, and a failed connection does not use up the retry.
 func (n *successor) recordOutcome(f *responder.Failure) {
+	n.isPaid = f.Reason == responder.ReasonDialFailed
 	if f.Outcome == responder.Unknown {
 		n.call.mayHaveRun = true
 	}
@@ -272,7 +277,7 @@
 	} else {
 		at.slot.RecordFailure()
 	}
-	n.call.mayHaveRun = true
+	n.call.mayHaveRun, n.isPaid = true, false
 	at.close()
 	return nil
 }
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +18,7 @@
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
 )
 
 // takeover is a call whose runners are taken for lost again and again.
@@ -38,6 +42,7 @@
 	t.Cleanup(func() { close(stop); _ = l.Close() })
 	k := &takeover{silenceCase: x, runners: s, relayer: x.relayer(l.Addr().String())}
 	k.relayer.Breaker.Log = slog.New(slog.DiscardHandler)
+	addRefusing(k.relayer.Balancer, x.Unreachable)
 	go believeLost(k.relayer.Balancer, stop)
 	return k
 }
@@ -172,3 +177,26 @@
 		t.Errorf("stalled %t after event %q", slot.IsStalled(), s.last())
 	}
 }
+
+// TestVainConnectionsUseUpNoRetry checks that the one retry that is left goes to a runner that accepts
+// connections, however many others refuse them before.
+func TestVainConnectionsUseUpNoRetry(t *testing.T) {
+	for range 5 {
+		k := newTakeover(t, &silenceCase{Type: "stream", MaxAttempts: 2, Runners: 2, Unreachable: 3, Budget: 1, Runs: []string{"stream 1-4 hang", "stream 4-6 end"}})
+		failure := k.call(t)
+		if n := strings.Count(k.body.String(), "\n\n"); failure != nil || n != 6 {
+			t.Fatalf("%d events, failure %v", n, failure)
+		}
+	}
+}
+
+// addRefusing adds runners that refuse connections.
+func addRefusing(b *balancer.Balancer, n int) {
+	tr, list := &tracker.Tracker{}, slices.Collect(maps.Values(b.View().Runners))
+	for i := range n {
+		list = append(list, &tracker.Runner{ID: fmt.Sprintf("refusing%d", i), Service: "s", Address: "127.0.0.1:1", State: tracker.Ready, Slots: 1})
+	}
+	tr.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	tr.Replace(list, 0)
+	b.View = tr.View
+}
