--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -55,15 +55,16 @@
 // relayStream forwards complete events to the caller until the response ends.
 func (r *Relayer) relayStream(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
 	s.pending, s.hasEvent = append(s.pending[:0], at.ahead...), false
-	if failure := r.forwardEvents(c, a, s, at); failure != nil {
+	if failure := r.forwardEvents(c, a, s, at, 0); failure != nil {
 		return failure
 	}
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, readErr := at.response.Body.Read(buffer)
 		if n > 0 {
+			searched := len(s.pending)
 			s.pending = append(s.pending, buffer[:n]...)
-			if failure := r.forwardEvents(c, a, s, at); failure != nil {
+			if failure := r.forwardEvents(c, a, s, at, searched); failure != nil {
 				return failure
 			}
 		}
@@ -99,19 +100,19 @@
 
 // forwardEvents writes the complete events among the pending bytes to the caller. Only
 // complete events count as progress of the target: single bytes now and then do not
-// keep a stalled stream alive.
-func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
-	end := lastEventEnd(s.pending)
+// keep a stalled stream alive. The first bytes, as many as searched, hold no complete event.
+func (r *Relayer) forwardEvents(c *Call, a *ResponseWriter, s *stream, at *attempt, searched int) *responder.Failure {
+	end := lastEventEnd(s.pending, searched)
 	if end == 0 {
 		if len(s.pending) > maxEventSize {
 			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, errEventTooLarge.Error())
 		}
 		return nil
 	}
-	if !at.record(partial) {
+	valid, ok, orderErr := s.advance(at, s.pending[:end])
+	if !ok {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
-	valid, orderErr := s.checkOrder(s.pending[:end])
 	if valid > 0 {
 		s.hasEvent = true
 		c.recordEvents(bytes.Count(s.pending[:valid], eventEnd))
@@ -128,21 +129,33 @@
 	return nil
 }
 
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := bytes.LastIndex(b, eventEnd)
+// lastEventEnd returns the length of the complete events at the start of b, of which the first
+// bytes, as many as searched, hold none. Only the others are searched, since an event may be long.
+func lastEventEnd(b []byte, searched int) int {
+	from := max(searched-len(eventEnd)+1, 0)
+	end := bytes.LastIndex(b[from:], eventEnd)
 	if end < 0 {
 		return 0
 	}
-	return end + len(eventEnd)
+	return from + end + len(eventEnd)
+}
+
+// advance records events of an attempt as progress and the last one of them, both at once, so that
+// an attempt that is sent after the progress resumes after that event. ok is as for attempt.record.
+func (s *stream) advance(at *attempt, events []byte) (valid int, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !at.record(partial) {
+		return 0, false, nil
+	}
+	valid, err = s.checkOrder(events)
+	return valid, true, err
 }
 
 // checkOrder verifies that the event IDs continue the sequence and records the last
 // one. It returns the length in bytes of the events before the first one out of
-// sequence.
+// sequence. s.mu must be held.
 func (s *stream) checkOrder(events []byte) (valid int, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for valid < len(events) {
 		end := valid + bytes.Index(events[valid:], eventEnd)
 		id, ok := eventID(events[valid : end+1])
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
 )
 
 // takeover is a call whose runners are taken for lost again and again.
@@ -36,6 +42,7 @@
 	t.Cleanup(func() { close(stop); _ = l.Close() })
 	k := &takeover{silenceCase: x, runners: s, relayer: x.relayer(l.Addr().String())}
 	k.relayer.Breaker.Log = slog.New(slog.DiscardHandler)
+	addRefusing(k.relayer.Balancer, x.Unreachable)
 	go believeLost(k.relayer.Balancer, stop)
 	return k
 }
@@ -134,3 +141,62 @@
 		t.Errorf("%d events, failure %v", n, failure)
 	}
 }
+
+// TestSuccessorResumesAfterTheLastEvent checks that progress of a stream is recorded only together with its
+// last event: an attempt that is sent later must not ask for that event again.
+func TestSuccessorResumesAfterTheLastEvent(t *testing.T) {
+	x := &silenceCase{Runners: 2, Budget: 9}
+	r := x.relayer("127.0.0.1:1")
+	slot, err := r.Balancer.Acquire(t.Context(), &balancer.Request{Service: "s", Arrived: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slot.Release()
+	guard, err := r.Breaker.Admit(breaker.Request{}, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, s := newAttempt(t.Context(), guard, slot), &stream{pending: []byte("id: 1\n\n")}
+	at.response = &requester.Response{Status: http.StatusOK, Header: http.Header{}}
+	at.next = &successor{present: at, stream: s}
+	slot.OnStall(func(error) {})
+	r.Balancer.LeaveLost(func(balancer.Target) bool { return true })
+	s.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.forwardEvents(&Call{guard: guard}, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }}, s, at, 0)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if !slot.IsStalled() && s.lastID == "" {
+		t.Error("progress is recorded, and the last event is not known")
+	}
+	s.mu.Unlock()
+	<-done
+	if slot.IsStalled() || s.last() != "1" {
+		t.Errorf("stalled %t after event %q", slot.IsStalled(), s.last())
+	}
+}
+
+// TestVainConnectionsUseUpNoRetry checks that the one retry that is left goes to a runner that accepts
+// connections, however many others refuse them before.
+func TestVainConnectionsUseUpNoRetry(t *testing.T) {
+	for range 5 {
+		k := newTakeover(t, &silenceCase{Type: "stream", MaxAttempts: 2, Runners: 2, Unreachable: 3, Budget: 1, Runs: []string{"stream 1-4 hang", "stream 4-6 end"}})
+		failure := k.call(t)
+		if n := strings.Count(k.body.String(), "\n\n"); failure != nil || n != 6 {
+			t.Fatalf("%d events, failure %v", n, failure)
+		}
+	}
+}
+
+// addRefusing adds runners that refuse connections.
+func addRefusing(b *balancer.Balancer, n int) {
+	tr, list := &tracker.Tracker{}, slices.Collect(maps.Values(b.View().Runners))
+	for i := range n {
+		list = append(list, &tracker.Runner{ID: fmt.Sprintf("refusing%d", i), Service: "s", Address: "127.0.0.1:1", State: tracker.Ready, Slots: 1})
+	}
+	tr.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
+	tr.Replace(list, 0)
+	b.View = tr.View
+}
