Give the processes that tests start a session of their own

KNOWN-RED TestScripts/at_most_once: "script line 16: os: process already finished", the frozen node was gone.

A frozen node is stopped; the group becomes an orphan when the shell ends that had started the tests.

Change: the processes of scripts and of the soak begin a session of their own. They thus outlive an interrupt that is typed at the tests' terminal.

TestScripts/leaving wasn't tried.

--- a/internal/proof/tester/cluster_test.go
+++ b/internal/proof/tester/cluster_test.go
@@ -334,6 +334,7 @@
 	}
 	cmd := exec.Command(program, p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = ownSession(true)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
