A pause of a sound runner closes no replica

Class: work is ended on a belief before something better has begun. Change: unless a runner refuses connections, its silence counts only from a second after the first probe that it missed; suspected runners are probed for long enough to tell. Its streams move elsewhere before, by themselves. Evidence: TestPauseOfASoundRunnerIsNoDeath failed with "after three probes, dead: map[x:true y:true]".

--- a/internal/fleet/former/observed_test.go
+++ b/internal/fleet/former/observed_test.go
@@ -1,7 +1,9 @@
 package former
 
 import (
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"marjorammoor/internal/serving/matcher"
@@ -69,3 +71,29 @@
 		t.Errorf("the head left: %v", s.headLeft)
 	}
 }
+
+// TestPauseOfASoundRunnerIsNoDeath guards against replicas that are closed, with all their streams,
+// because a member has paused for about a second.
+func TestPauseOfASoundRunnerIsNoDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, s, _ := observing(0)
+		c.AnswersPeers, c.InFlight, c.Log = func(string) bool { return false }, func(string) int { return 0 }, slog.New(slog.DiscardHandler)
+		silent, refusing := Member{ID: "x"}, Member{ID: "y"}
+		for range 3 {
+			s.recordProbe(c, silent, NoResponse)
+			s.recordProbe(c, refusing, Refused)
+			time.Sleep(probeTimeout)
+		}
+		if s.dead["x"] || !s.dead["y"] {
+			t.Errorf("after three probes, dead: %v", s.dead)
+		}
+		s.recordProbe(c, silent, Reachable)
+		for range 4 {
+			s.recordProbe(c, silent, NoResponse)
+			time.Sleep(probeTimeout)
+		}
+		if !s.dead["x"] {
+			t.Error("a runner that stays silent is not dead")
+		}
+	})
+}
--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -20,6 +20,9 @@
 	// missesUntilDead is how many consecutive probes a runner must miss to be
 	// considered dead.
 	missesUntilDead = 2
+	// maxSoundSilence is how long a runner may answer no probe before it is considered
+	// dead, unless it refuses connections. A sound one may pause for about a second.
+	maxSoundSilence = time.Second
 )
 
 // probe checks the members of suspected replicas and other members that may be gone.
@@ -138,7 +141,8 @@
 	s.missedAt[m.ID] = now
 	c.noteUnreachable(m)
 	s.missedProbes[m.ID]++
-	if s.missedProbes[m.ID] >= missesUntilDead && !s.dead[m.ID] {
+	isSilent := p == Refused || now.Sub(s.silentSince[m.ID]) >= maxSoundSilence
+	if s.missedProbes[m.ID] >= missesUntilDead && isSilent && !s.dead[m.ID] {
 		s.dead[m.ID] = true
 		c.Log.Warn("runner does not answer", "runner", m.ID, "address", m.Address, "probes", s.missedProbes[m.ID], "refuses", p == Refused)
 	}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -372,7 +372,7 @@
 }
 
 // suspectLifetime is how long a suspected runner is probed after the last report.
-const suspectLifetime = 1500 * time.Millisecond
+const suspectLifetime = 2500 * time.Millisecond
 
 func (n *Node) addSuspect(id string) {
 	n.suspectsMu.Lock()
