Split the model test of the planner into files by part

Functions and types were moved as they are: sorted, the lines of the files differ in package clauses and imports only. internal/fleet/former passes.

--- /dev/null
+++ b/internal/fleet/former/world_faults_test.go
@@ -0,0 +1,157 @@
+package former
+
+import (
+	"sort"
+	"time"
+
+	"marjorammoor/internal/serving/tracker"
+)
+
+func (w *world) injectFaults() {
+	chance := func(every float64) bool { return every > 0 && w.rand.Float64() < 0.1/every }
+	ids := []string{}
+	for id, v := range w.vms {
+		if v.alive && v.state == tracker.Ready {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	if len(ids) > 2 && chance(w.scenario.CrashEvery) {
+		w.crash(w.vms[ids[w.rand.IntN(len(ids))]])
+	}
+	if len(ids) > 2 && chance(w.scenario.DrainEvery) {
+		v := w.vms[ids[w.rand.IntN(len(ids))]]
+		v.state = tracker.Draining
+		go func() {
+			time.Sleep(10 * time.Second)
+			w.mu.Lock()
+			v.alive, v.listed = false, false
+			w.mu.Unlock()
+		}()
+	}
+	if len(ids) > 2 && chance(w.scenario.UnannouncedLeaveEvery) {
+		w.leaveUnannounced(w.vms[ids[w.rand.IntN(len(ids))]])
+	}
+	if len(ids) > 2 && chance(w.scenario.LapseEvery) {
+		w.lapseEntry(w.vms[ids[w.rand.IntN(len(ids))]])
+	}
+	if chance(w.scenario.AddEvery) {
+		w.addVM()
+	}
+	if !w.isCutOff && chance(w.scenario.CutEvery) {
+		w.cutOff()
+	}
+	if chance(w.scenario.RestoreEvery) {
+		w.restoreStore()
+	}
+	w.injectLosses(chance)
+}
+
+func (w *world) keepCopy() {
+	if w.scenario.RestoreEvery == 0 {
+		return
+	}
+	c := storeCopy{at: time.Now(), object: w.object, revision: w.revision, runners: map[string]*tracker.Runner{}}
+	for _, r := range w.runners() {
+		c.runners[r.ID] = r
+	}
+	w.copies = append(w.copies, c)
+}
+
+func (w *world) restoreStore() {
+	i := len(w.copies) - 1
+	for i > 0 && time.Since(w.copies[i].at).Seconds() < w.scenario.RestoreBack {
+		i--
+	}
+	c := w.copies[i]
+	w.object, w.revision = c.object, c.revision
+	w.era++
+	w.copies = w.copies[:i+1]
+	for _, v := range w.vms {
+		v.restored = c.runners[v.id]
+		v.restoredUntil = time.Now().Add(time.Duration(w.rand.IntN(2000)) * time.Millisecond)
+	}
+}
+
+func (w *world) lapseEntry(v *vm) {
+	if w.scenario.LapseMembersOnly && (v.rank == 0 || v.memberState != tracker.MemberReady) {
+		return
+	}
+	v.listed = false
+	go func() {
+		time.Sleep(5 * time.Second)
+		w.mu.Lock()
+		v.listed = v.alive && !v.refuses
+		w.mu.Unlock()
+	}()
+}
+
+func (w *world) leaveUnannounced(v *vm) {
+	v.listed, v.refuses = false, true
+	boot := v.bootTime
+	d := time.Duration(3000+w.rand.IntN(6000)) * time.Millisecond
+	go func() {
+		time.Sleep(d)
+		w.mu.Lock()
+		if v.bootTime == boot {
+			v.alive = false
+		}
+		w.mu.Unlock()
+	}()
+}
+
+func (w *world) crash(v *vm) {
+	v.alive = false
+	boot := v.bootTime
+	go func() {
+		time.Sleep(3600 * time.Millisecond)
+		w.mu.Lock()
+		if v.bootTime == boot && !v.alive {
+			v.listed = false
+		}
+		w.mu.Unlock()
+	}()
+	if w.scenario.ReturnAfter == 0 {
+		return
+	}
+	go func() {
+		time.Sleep(time.Duration(w.scenario.ReturnAfter * float64(time.Second)))
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		*v = vm{id: v.id, bootTime: time.Now().UnixMilli(), alive: true, state: tracker.Ready, listed: !w.isCutOff, staged: v.staged, wasReady: v.wasReady}
+	}()
+}
+
+func (w *world) cutOff() {
+	w.isCutOff = true
+	for _, v := range w.vms {
+		d := 2400*time.Millisecond + time.Duration(w.rand.IntN(1200))*time.Millisecond
+		go func() {
+			time.Sleep(d)
+			w.mu.Lock()
+			v.listed = false
+			w.mu.Unlock()
+		}()
+	}
+	go func() {
+		time.Sleep(time.Duration(w.scenario.CutSeconds * float64(time.Second)))
+		w.mu.Lock()
+		w.isCutOff = false
+		vms := []*vm{}
+		for _, v := range w.vms {
+			vms = append(vms, v)
+		}
+		w.mu.Unlock()
+		for _, v := range vms {
+			go func() {
+				w.mu.Lock()
+				d := time.Duration(w.rand.IntN(1800)) * time.Millisecond
+				w.mu.Unlock()
+				time.Sleep(d)
+				w.mu.Lock()
+				v.listed = v.alive
+				w.mu.Unlock()
+			}()
+		}
+	}()
+}
--- /dev/null
+++ b/internal/fleet/former/world_runner_test.go
@@ -0,0 +1,162 @@
+package former
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/tracker"
+)
+
+func (w *world) runners() []*tracker.Runner {
+	list := []*tracker.Runner{}
+	for _, v := range w.vms {
+		if time.Now().Before(v.restoredUntil) {
+			if v.restored != nil {
+				list = append(list, v.restored)
+			}
+			continue
+		}
+		if !v.listed {
+			continue
+		}
+		r := &tracker.Runner{
+			ID: v.id, Service: "pool", Address: v.id, DataCenter: "dc", Domain: "d0", State: v.state, Slots: 4, BootTime: v.bootTime,
+			Orders: v.orders, StagedModels: slices.Clone(v.staged), Models: slices.Clone(v.models),
+		}
+		if v.replica != "" {
+			r.HasMembership = true
+			r.Membership = tracker.Membership{Replica: v.replica, Epoch: v.epoch, Rank: v.rank, State: v.memberState}
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+func (w *world) writtenRunners() []*tracker.Runner {
+	return slices.DeleteFunc(w.runners(), func(r *tracker.Runner) bool { return time.Now().Before(w.vms[r.ID].restoredUntil) })
+}
+
+func (w *world) send(ctx context.Context, o Order) Result {
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	v := w.vms[o.Runner.ID]
+	reachable := v != nil && v.alive && !v.refuses && w.isReached(v)
+	late := reachable && !w.isCalm() && w.rand.Float64() < w.scenario.LateShare
+	delay := time.Duration(2000+w.rand.IntN(10000)) * time.Millisecond
+	w.mu.Unlock()
+	if late {
+		go func() {
+			time.Sleep(delay)
+			w.mu.Lock()
+			w.apply(v, o)
+			w.mu.Unlock()
+		}()
+	}
+	if late || !reachable {
+		<-ctx.Done()
+		return NoAnswer
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.apply(v, o)
+}
+
+func (w *world) apply(v *vm, o Order) Result {
+	if !v.alive {
+		return NoAnswer
+	}
+	if o.Fence < v.fence {
+		return Fenced
+	}
+	v.fence = o.Fence
+	v.orders++
+	switch o.Operation {
+	case Stage:
+		w.after(v, w.model(o.Model).LoadTime, func() { v.staged = []string{o.Model} })
+		return Accepted
+	case Join:
+		return w.join(v, o)
+	case Start:
+		if v.replica != o.Replica || v.epoch != o.Epoch || v.memberState != tracker.MemberReady {
+			return Conflict
+		}
+		w.checkOpen(v)
+		w.after(v, 300*time.Millisecond, func() { v.memberState = tracker.MemberOpen })
+		return Accepted
+	case Close:
+		if v.replica == o.Replica && v.epoch == o.Epoch && v.memberState == tracker.MemberOpen {
+			v.memberState = tracker.MemberClosing
+			w.after(v, 700*time.Millisecond, func() { v.memberState = tracker.MemberReady })
+		}
+		return Accepted
+	case Leave:
+		if v.replica == o.Replica && v.epoch == o.Epoch {
+			v.replica, v.epoch, v.members, v.memberState, v.models = "", 0, nil, "", nil
+		}
+		return Done
+	}
+	return Rejected
+}
+
+func (w *world) after(v *vm, d time.Duration, change func()) {
+	bootTime, replica, epoch := v.bootTime, v.replica, v.epoch
+	go func() {
+		time.Sleep(d)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if v.alive && v.bootTime == bootTime && v.replica == replica && v.epoch == epoch {
+			change()
+		}
+	}()
+}
+
+func (w *world) model(name string) *matcher.Model {
+	for i := range w.engine.Models {
+		if w.engine.Models[i].Name == name {
+			return &w.engine.Models[i]
+		}
+	}
+	return nil
+}
+
+func (w *world) join(v *vm, o Order) Result {
+	if o.Epoch < v.maxEpoch || v.replica == o.Replica && v.epoch == o.Epoch && !slices.Equal(v.members, o.Members) {
+		return Fenced
+	}
+	if v.replica == o.Replica && v.epoch == o.Epoch {
+		return Done
+	}
+	w.checkEpoch(o)
+	if v.replica != "" && len(v.members) > 0 {
+		head := w.vms[v.members[0]]
+		if head.alive && head.replica == v.replica && head.epoch == v.epoch && (head.memberState == tracker.MemberOpen || head.memberState == tracker.MemberClosing) {
+			w.addViolation("%s joins %s while the head %s of %s is %s", v.id, o.Replica, head.id, v.replica, head.memberState)
+		}
+	}
+	v.maxEpoch = o.Epoch
+	v.replica, v.epoch, v.members, v.memberState, v.rank, v.models = o.Replica, o.Epoch, o.Members, tracker.MemberJoining, slices.Index(o.Members, v.id), []string{o.Model}
+	wait := w.model(o.Model).WarmUpTime
+	if !slices.Contains(v.staged, o.Model) {
+		wait = w.model(o.Model).LoadTime
+	}
+	w.after(v, wait, func() {
+		v.memberState, v.staged = tracker.MemberReady, []string{o.Model}
+		v.wasReady[fmt.Sprint(v.replica, v.epoch)] = true
+	})
+	return Accepted
+}
+
+func (w *world) checkOpen(head *vm) {
+	if size := w.model(head.models[0]).Size; len(head.members) != size {
+		w.addViolation("%s opens with %d members of %d", head.replica, len(head.members), size)
+	}
+	for _, id := range head.members {
+		m := w.vms[id]
+		if !m.wasReady[fmt.Sprint(head.replica, head.epoch)] {
+			w.addViolation("%s opens although %s was never ready in it", head.replica, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/former/world_scenario_test.go
@@ -0,0 +1,124 @@
+package former
+
+import (
+	"encoding/json"
+	"time"
+
+	"marjorammoor/internal/serving/tracker"
+)
+
+type scenario struct {
+	Name        string `json:"name"`
+	Runners     int    `json:"runners"`
+	Controllers int    `json:"controllers"`
+	// Seeds is the number of runs, each with another random seed.
+	Seeds   int `json:"seeds"`
+	Seconds int `json:"seconds"`
+	// CrashEvery is the mean seconds between two crashes; 0 means none. DrainEvery
+	// and AddEvery are the same for VMs that are drained and added.
+	CrashEvery float64 `json:"crash_every_s"`
+	// ReturnAfter is the seconds after which a crashed VM restarts; 0 means never.
+	ReturnAfter float64 `json:"return_after_s"`
+	DrainEvery  float64 `json:"drain_every_s"`
+	AddEvery    float64 `json:"add_every_s"`
+	// LateShare is the share of orders that get no answer and are carried out late.
+	LateShare float64 `json:"late_share"`
+	// LostShare is the share of store writes that take effect but get no answer.
+	LostShare float64 `json:"lost_share"`
+	// CutEvery is the mean seconds between two times at which the domain is cut off
+	// from the store and the controllers.
+	CutEvery float64 `json:"cut_every_s"`
+	// HandOverEvery is the seconds after which the next controller owns the domain;
+	// 0 lets all controllers work on it concurrently.
+	HandOverEvery float64 `json:"hand_over_every_s"`
+	// ViewLag is the seconds by which the views of all controllers but the first lag
+	// behind the store.
+	ViewLag float64 `json:"view_lag_s"`
+	// CutSeconds is how long the domain stays cut off.
+	CutSeconds float64 `json:"cut_s"`
+	// CutResets resets the connections to a domain that is cut off. Otherwise they
+	// time out.
+	CutResets bool `json:"cut_refuses"`
+	// UnannouncedLeaveEvery is the mean seconds between two VMs that leave without
+	// announcing it: the VM is removed from the list, refuses connections and
+	// finishes its requests.
+	UnannouncedLeaveEvery float64 `json:"vanish_every_s"`
+	// LapseEvery is the mean seconds between two VMs that lose contact with the
+	// store: the VM is not listed for some seconds but continues its work.
+	LapseEvery float64 `json:"lapse_every_s"`
+	// LapseMembersOnly restricts lapses to members that are not heads.
+	LapseMembersOnly bool `json:"only_members"`
+	// RestoreEvery is the mean seconds between two times at which the store comes back from
+	// a copy that is RestoreBack seconds old. Runners write their entries again within 2 s.
+	RestoreEvery float64 `json:"restore_every_s"`
+	RestoreBack  float64 `json:"restore_back_s"`
+	// UnreachedEvery is the mean seconds between two times at which a third of the runners is out
+	// of reach of all controllers for up to UnreachedSeconds, but not of the store and each other.
+	UnreachedEvery   float64 `json:"unreached_every_s"`
+	UnreachedSeconds float64 `json:"unreached_s"`
+	// NodeCutEvery is the mean seconds between two times at which a controller is cut off from
+	// the store for up to NodeCutSeconds.
+	NodeCutEvery   float64 `json:"node_cut_every_s"`
+	NodeCutSeconds float64 `json:"node_cut_s"`
+	// AwayEvery is the mean seconds between two times at which the store is away for up to
+	// AwaySeconds, while entries lapse.
+	AwayEvery   float64 `json:"away_every_s"`
+	AwaySeconds float64 `json:"away_s"`
+	// IsMixed draws by the seed which of the faults there are, and the number of runners.
+	IsMixed bool `json:"mixed"`
+	// CalmSeconds are the last seconds without new faults. After them, repair must have ended.
+	CalmSeconds float64 `json:"calm_s"`
+	// MinOpen is the minimum share of the time during which at least one replica of
+	// each model must be open.
+	MinOpen float64 `json:"min_open"`
+	// Model is what the domain serves from the start; empty means all models.
+	Model string `json:"model"`
+	// Elsewhere are the models of other domains, which are in the store only.
+	Elsewhere []string `json:"elsewhere"`
+	// MinOpenOf overrides MinOpen for some models.
+	MinOpenOf map[string]float64 `json:"min_open_of"`
+	// MaxOpenOf is the maximum share of the time for models that the domain should
+	// no longer serve.
+	MaxOpenOf map[string]float64 `json:"max_open_of"`
+}
+
+type vm struct {
+	id          string
+	bootTime    int64
+	alive       bool
+	state       tracker.State
+	staged      []string
+	models      []string
+	replica     string
+	epoch       int64
+	rank        int
+	members     []string
+	memberState tracker.MemberState
+	// wasReady contains the replica and epoch of each membership in which the runner
+	// became ready. A head may open if such a member is lost afterwards.
+	wasReady map[string]bool
+	// fence is the highest fence seen, maxEpoch the highest epoch of a join order.
+	fence    int64
+	maxEpoch int64
+	// orders is the number of orders accepted.
+	orders int64
+	// listed is set while the runner has an entry in the store.
+	listed bool
+	// refuses is set if the runner refuses new connections.
+	refuses bool
+	// restored is the entry that the store has for the runner since it was restored, or nil
+	// if it has none, until restoredUntil.
+	restored      *tracker.Runner
+	restoredUntil time.Time
+	// unreachedUntil is until when no controller reaches the runner.
+	unreachedUntil time.Time
+	// stalledSince is when the head of an open replica lost a member.
+	stalledSince time.Time
+}
+
+type storeCopy struct {
+	at       time.Time
+	object   json.RawMessage
+	revision int64
+	runners  map[string]*tracker.Runner
+}
