--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -113,7 +113,7 @@
 	runnerSummary  runnerSummary
 	sights         storeSights
 	rejections     follower.Rejections
-	witnesses      witnesses
+	peerQuestions  peerQuestions
 	// suspects holds the time of the last suspicion by runner ID.
 	suspectsMu sync.Mutex
 	suspects   map[string]time.Time
@@ -314,7 +314,7 @@
 	if isAlone := len(n.beater.Nodes("")) == 1; isAlone || !n.observer.IsGroupLost(r.Address) {
 		return true
 	}
-	return n.witnesses.ask(r.ID, r.Address)
+	return n.peerQuestions.ask(r.ID, r.Address)
 }
 
 // probeResult probes a runner and returns what came of it in time.
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -190,7 +190,7 @@
 	}
 	b.Unreachable = n.former.Unreachable()
 	maps.DeleteFunc(b.Unreachable, func(id, _ string) bool { return n.isCutOff(id) })
-	n.witnesses.addQuestions(b.Unreachable)
+	n.peerQuestions.addQuestions(b.Unreachable)
 	b.Reachable, b.Refusing = n.indirectProbes.results()
 	b.Loads = n.former.PendingLoads()
 	b.Breaker = n.breaker.Report()
@@ -246,7 +246,7 @@
 	n.giveRetries(b)
 	n.balancer.Dispatch()
 	n.indirectProbes.recordPeerAnswers(b.Reachable)
-	n.witnesses.record(b.Node, b.Reachable, b.Refusing)
+	n.peerQuestions.record(b.Node, b.Reachable, b.Refusing)
 	n.indirectProbes.probeAll(b.Unreachable, n.probeResult)
 	if b.Echo == 0 {
 		return
