Test: heartbeats of a test on loopback addresses of their own

The test chose a free port by opening and closing a socket on 127.0.0.1, where any process may take it before the beater opens it again. Each beater now has an address that no other process uses. Nothing else of the tests has changed.

--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,9 +27,19 @@
 	changes []follower.Changes
 }
 
+// hosts counts the loopback addresses of this test process.
+var hosts atomic.Int32
+
+// ownHost returns a loopback address that nothing else uses, so that no port of it is taken
+// between the choice of a port and its use.
+func ownHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 160+os.Getpid()%32, n/250, 1+n%250)
+}
+
 func start(ctx context.Context, t *testing.T, name, dataCenter string) *node {
 	t.Helper()
-	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	l, err := net.ListenPacket("udp4", ownHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
