Log who has made a failure that comes from another node

One line and one counter for each failure that another node returns: by the node, by a runner (verified), or by neither as far as the header shows; with the age of that node's process and of its heartbeat. The node that rejects names the sender, the request and how many nodes it knows.

--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -27,7 +27,8 @@
 func (n *Node) serveDelivery(w http.ResponseWriter, r *http.Request) {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil || !n.beater.HasPeerAt(host) {
-		n.Log.Warn("request from an unknown node is rejected", "address", r.RemoteAddr)
+		n.Log.Warn("request from an unknown node is rejected", "address", r.RemoteAddr, "from_node", deliverer.Sender(r.Header),
+			"request", n.Platform.ParseRequest(r).ID, "known_nodes", n.beater.PeerCount(), "age_ms", time.Since(n.startedAt).Milliseconds())
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -200,7 +200,10 @@
 		if !ok {
 			continue
 		}
-		x := deliverer.Peer{Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Load: inFlight(&p.Heartbeat)}
+		x := deliverer.Peer{
+			Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Load: inFlight(&p.Heartbeat),
+			Age: p.Age(), HeartbeatAge: time.Since(p.SeenAt),
+		}
 		if slices.Contains(p.Answering, service) {
 			answered = append(answered, x)
 		} else {
--- a/internal/peer/beater/schedule.go
+++ b/internal/peer/beater/schedule.go
@@ -98,6 +98,12 @@
 	return time.Duration(b.IntervalMS) * time.Millisecond
 }
 
+// Age returns how long the node's process had sent heartbeats at the default interval when it
+// sent this one.
+func (b *Heartbeat) Age() time.Duration {
+	return time.Duration(b.Sequence) * DefaultInterval
+}
+
 // idlePeriods is the number of periods between two heartbeats to another data centre
 // that hold nothing but that the node is live.
 const idlePeriods = 3
--- a/internal/peer/deliverer/deliverer.go
+++ b/internal/peer/deliverer/deliverer.go
@@ -31,6 +31,9 @@
 	IsRemote bool
 	// Load is the number of requests that it has in flight, as it last reported.
 	Load int
+	// Age is how long its process has sent heartbeats, and HeartbeatAge the time since the
+	// last one was received.
+	Age, HeartbeatAge time.Duration
 }
 
 // Deliverer hands requests over to other nodes. Set Self, Peers and Client before use.
--- a/internal/peer/deliverer/delivery.go
+++ b/internal/peer/deliverer/delivery.go
@@ -73,6 +73,10 @@
 	return d, nil
 }
 
+// Sender returns the name of the node that hands a request over, or an empty string if the
+// header of the request names none.
+func Sender(h http.Header) string { return h.Get(headerNode) }
+
 // SetFailure writes a failure into the header of the response to the other node.
 func SetFailure(h http.Header, f *responder.Failure) {
 	h.Set(headerOutcome, string(f.Outcome))
@@ -95,6 +99,16 @@
 	return n
 }
 
+// NamesDelivery reports whether the header of a response says that its sender has taken the
+// request for one that was handed over.
+func NamesDelivery(h http.Header) bool { return h.Get(headerAttempts) != "" }
+
+// FailureReason returns the reason of the failure that the header of a response reports, and
+// false if it reports none.
+func FailureReason(h http.Header) (responder.Reason, bool) {
+	return responder.Reason(h.Get(headerReason)), h.Get(headerOutcome) != ""
+}
+
 // ParseFailure returns the failure that the other node reports, and false if it returned
 // the response of a runner.
 func ParseFailure(r *requester.Response) (*responder.Failure, bool) {
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/deliverer"
@@ -43,7 +45,7 @@
 		}
 		c.triedPeers = append(c.triedPeers, peer.Name)
 		r.Log.Info("request is handed over", "request", c.ID, "service", c.Service, "peer", peer.Name, "remote", peer.IsRemote,
-			"peer_load", peer.Load, "attempts", c.attempts, "last_event", lastEvent)
+			"peer_load", peer.Load, "peer_age_ms", peer.Age.Milliseconds(), "heartbeat_age_ms", peer.HeartbeatAge.Milliseconds(), "attempts", c.attempts, "last_event", lastEvent)
 		at := newAttempt(ctx, c.guard, nil)
 		at.endDelivery = r.Peers.Begin(peer)
 		failure = r.sendToPeer(c, at, lastEvent, peer)
@@ -80,6 +82,7 @@
 		return r.peerFailure(at.ctx, c, err)
 	}
 	at.response = response
+	r.logPeerResponse(c, peer, response)
 	if f, failed := deliverer.ParseFailure(response); failed {
 		c.attempts = max(c.attempts, f.Attempts)
 		f.RequestID = c.ID
@@ -94,6 +97,25 @@
 	return nil
 }
 
+// logPeerResponse logs and counts a response of another node that is no success. It tells who
+// has made it: the node, a runner, or neither as far as the header shows.
+func (r *Relayer) logPeerResponse(c *Call, peer deliverer.Peer, response *requester.Response) {
+	if response.Status < http.StatusMultipleChoices {
+		return
+	}
+	from := "unknown"
+	reason, isFailure := deliverer.FailureReason(response.Header)
+	switch {
+	case isFailure:
+		from = "node"
+	case r.Wire.Inspect(response.Status, response.Header).Verified:
+		from = "runner"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_peer_responses_failed_total{from=%q,status="%d"}`, from, response.Status)).Inc()
+	r.Log.Info("other node has responded with a failure", "request", c.ID, "peer", peer.Name, "address", peer.Address, "status", response.Status, "from", from,
+		"reason", reason, "names_delivery", deliverer.NamesDelivery(response.Header), "peer_age_ms", peer.Age.Milliseconds(), "heartbeat_age_ms", peer.HeartbeatAge.Milliseconds())
+}
+
 // peerFailure returns the failure for a call to which another node gave no response. If that
 // node may have got it, the call may have run.
 func (r *Relayer) peerFailure(ctx context.Context, c *Call, err error) *responder.Failure {
