Take only what names the delivery for the answer of another node

Cause: a response without the header of a failure counted as a runner's, so that the absence of evidence decided. Evidence: a node that relays a runner's answer has always named the number of attempts; its HTTP layer, a proxy or a stranger at the address does not.

Change: ParseReply wants that number in every response. The stand-ins of other nodes in the relayer's tests now name it as nodes do. "success of what is no node" (TestHandovers) gave 200 before.

--- a/internal/node/server/deliveries_test.go
+++ b/internal/node/server/deliveries_test.go
@@ -24,8 +24,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f, failed := deliverer.ParseFailure(&requester.Response{Status: response.StatusCode, Header: response.Header, Body: strings.NewReader("")})
-		if !failed || f.Status != http.StatusServiceUnavailable || f.Outcome != responder.NotRun || f.Attempts != 0 {
+		reply, err := deliverer.ParseReply(&requester.Response{Status: response.StatusCode, Header: response.Header, Body: strings.NewReader("")})
+		f := reply.Failure
+		if err != nil || f == nil || f.Status != http.StatusServiceUnavailable || f.Outcome != responder.NotRun || f.Attempts != 0 {
 			t.Errorf("status %d, header %v: want a failure that says that the request was not run", response.StatusCode, response.Header)
 		}
 	}
--- a/internal/peer/deliverer/deliverer.go
+++ b/internal/peer/deliverer/deliverer.go
@@ -97,7 +97,7 @@
 	requestsDelivered.Inc()
 	response, err := d.Client.Do(ctx, r)
 	if err != nil && ctx.Err() == nil {
-		d.avoid(p)
+		d.Avoid(p)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("hand over to %s: %w", p.Name, err)
@@ -123,7 +123,8 @@
 	}
 }
 
-func (d *Deliverer) avoid(p Peer) {
+// Avoid keeps requests away from a node for a while.
+func (d *Deliverer) Avoid(p Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.avoidedUntil == nil {
--- a/internal/peer/deliverer/delivery.go
+++ b/internal/peer/deliverer/delivery.go
@@ -1,6 +1,7 @@
 package deliverer
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -88,33 +89,35 @@
 // SetAttempts writes the number of attempts into the header of the response.
 func SetAttempts(h http.Header, attempts int) { h.Set(headerAttempts, strconv.Itoa(attempts)) }
 
-// ParseAttempts reads the number of attempts from the header of a response and removes it
-// there. It returns 1 if there is none: the request may have reached a runner.
-func ParseAttempts(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(headerAttempts))
-	h.Del(headerAttempts)
-	if err != nil {
-		return 1
-	}
-	return n
+// Reply is what another node tells with its response to a request that was handed over.
+type Reply struct {
+	// Attempts is the number of times that the request may have reached a runner.
+	Attempts int
+	// Failure is why the other node could not complete the request. It is nil if the response
+	// is that of a runner.
+	Failure *responder.Failure
 }
 
-// NamesDelivery reports whether the header of a response says that its sender has taken the
-// request for one that was handed over.
-func NamesDelivery(h http.Header) bool { return h.Get(headerAttempts) != "" }
+// ErrNoReply is returned for a response that nothing shows to come from a node that has taken
+// the request over. Whatever made it, an HTTP server or another program, the request may have run.
+var ErrNoReply = errors.New("the answer is not that of a node which has taken the request over")
 
-// FailureReason returns the reason of the failure that the header of a response reports, and
-// false if it reports none.
-func FailureReason(h http.Header) (responder.Reason, bool) {
-	return responder.Reason(h.Get(headerReason)), h.Get(headerOutcome) != ""
+// ParseReply reads what the other node tells from the header of its response and removes the
+// number of attempts there.
+func ParseReply(r *requester.Response) (Reply, error) {
+	attempts, err := strconv.Atoi(r.Header.Get(headerAttempts))
+	if err != nil || attempts < 0 {
+		return Reply{}, fmt.Errorf("%w: status %d, %s: %q", ErrNoReply, r.Status, headerAttempts, r.Header.Get(headerAttempts))
+	}
+	r.Header.Del(headerAttempts)
+	return Reply{Attempts: attempts, Failure: parseFailure(r, attempts)}, nil
 }
 
-// ParseFailure returns the failure that the other node reports, and false if it returned
-// the response of a runner.
-func ParseFailure(r *requester.Response) (*responder.Failure, bool) {
+// parseFailure returns the failure that the other node reports, or nil if it reports none.
+func parseFailure(r *requester.Response, attempts int) *responder.Failure {
 	outcome := responder.Outcome(r.Header.Get(headerOutcome))
 	if outcome == "" {
-		return nil, false
+		return nil
 	}
 	if outcome != responder.NotRun {
 		outcome = responder.Unknown
@@ -125,10 +128,10 @@
 	}
 	f := &responder.Failure{
 		Status: r.Status, Outcome: outcome, Reason: responder.Reason(r.Header.Get(headerReason)),
-		Message: strings.TrimSpace(string(text)), Attempts: ParseAttempts(r.Header),
+		Message: strings.TrimSpace(string(text)), Attempts: attempts,
 	}
 	if ms, err := strconv.ParseInt(r.Header.Get(headerRetryAfter), 10, 64); err == nil && ms > 0 {
 		f.RetryAfter = time.Duration(ms) * time.Millisecond
 	}
-	return f, true
+	return f
 }
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -82,15 +82,20 @@
 		return r.peerFailure(at.ctx, c, err)
 	}
 	at.response = response
-	r.logPeerResponse(c, peer, response)
-	if f, failed := deliverer.ParseFailure(response); failed {
-		c.attempts = max(c.attempts, f.Attempts)
+	reply, err := deliverer.ParseReply(response)
+	r.logPeerResponse(c, peer, response, reply, err)
+	if err != nil {
+		r.Peers.Avoid(peer)
+		c.attempts++
+		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, err.Error())
+	}
+	c.attempts = max(c.attempts, reply.Attempts)
+	if f := reply.Failure; f != nil {
 		f.RequestID = c.ID
 		return f
 	}
-	c.attempts = max(c.attempts, deliverer.ParseAttempts(response.Header))
 	inspection := r.Wire.Inspect(response.Status, response.Header)
-	if !inspection.Verified || inspection.Encoded {
+	if inspection.isUnusable() {
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
 	}
 	at.guard.RecordResponse()
@@ -99,21 +104,21 @@
 
 // logPeerResponse logs and counts a response of another node that is no success. It tells who
 // has made it: the node, a runner, or neither as far as the header shows.
-func (r *Relayer) logPeerResponse(c *Call, peer deliverer.Peer, response *requester.Response) {
-	if response.Status < http.StatusMultipleChoices {
+func (r *Relayer) logPeerResponse(c *Call, peer deliverer.Peer, response *requester.Response, reply deliverer.Reply, err error) {
+	if response.Status < http.StatusMultipleChoices && err == nil {
 		return
 	}
-	from := "unknown"
-	reason, isFailure := deliverer.FailureReason(response.Header)
+	from, reason := "unknown", responder.ReasonAnswerMismatch
 	switch {
-	case isFailure:
-		from = "node"
+	case err != nil:
+	case reply.Failure != nil:
+		from, reason = "node", reply.Failure.Reason
 	case r.Wire.Inspect(response.Status, response.Header).Verified:
-		from = "runner"
+		from, reason = "runner", ""
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_peer_responses_failed_total{from=%q,status="%d"}`, from, response.Status)).Inc()
 	r.Log.Info("other node has responded with a failure", "request", c.ID, "peer", peer.Name, "address", peer.Address, "status", response.Status, "from", from,
-		"reason", reason, "names_delivery", deliverer.NamesDelivery(response.Header), "peer_age_ms", peer.Age.Milliseconds(), "heartbeat_age_ms", peer.HeartbeatAge.Milliseconds())
+		"reason", reason, "peer_age_ms", peer.Age.Milliseconds(), "heartbeat_age_ms", peer.HeartbeatAge.Milliseconds())
 }
 
 // peerFailure returns the failure for a call to which another node gave no response. If that
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -91,8 +91,12 @@
 	s.sends++
 	s.last = q.Header.Get("Last") + q.Header.Get("X-Delivery-Last-Event")
 	s.mu.Unlock()
-	head := "HTTP/1.1 %d X\r\nId: " + q.Header.Get("Id") + "\r\nConnection: close\r\n%s\r\n"
+	head := "HTTP/1.1 %d X\r\nId: " + q.Header.Get("Id") + "\r\nConnection: close\r\n" + nodeHeader(q, behavior) + "%s\r\n"
 	switch behavior {
+	case "bare_403":
+		_, _ = io.WriteString(c, "HTTP/1.1 403 X\r\nContent-Length: 0\r\n\r\n")
+	case "foreign":
+		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
 	case "ok":
 		_, _ = fmt.Fprintf(c, head+"ok", 200, "Signed: 1\r\nContent-Length: 2\r\n")
 	case "unsigned":
@@ -152,6 +156,19 @@
 	}
 }
 
+// nodeHeader returns what a node adds to the response of a runner to a request that was handed
+// over. Failures of its own have more, and what is no node adds nothing.
+func nodeHeader(q *http.Request, behavior string) string {
+	switch behavior {
+	case "foreign", "not_run", "unreachable", "stopping", "unknown", "unknown_after_two":
+		return ""
+	}
+	if q.Header.Get("X-Delivery-Attempts") == "" {
+		return ""
+	}
+	return "X-Delivery-Attempts: 1\r\n"
+}
+
 // silence is how long a runner that goes on sends nothing.
 const silence = 300 * time.Millisecond
 
