Refuse requests of unknown nodes with "not run", and ask another node at once

Cause: a refusal between nodes that carried no outcome, no request ID and no reason. On a connection that had been used before, an answer without the ID is even skipped, and the sender waits until its deadline. Who is known was decided by the IP address alone, and only by heartbeats, which a node of another data centre sends every 0.6 to 1.8 s at 195 nodes.

Change: the refusal is a failure as any other of a node: 503, "not run", unknown_peer or bad_delivery, when to come back. A node is known by its name and address, from a heartbeat or from the store, which is listed at the start. Beater.HasPeerAt is now Beater.Knows.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -56,6 +56,8 @@
 	ReasonNoReplica             Reason = "no_replica"
 	ReasonReplicasPaused        Reason = "replicas_paused"
 	ReasonUnreachable           Reason = "runners_unreachable"
+	ReasonUnknownPeer           Reason = "unknown_peer"
+	ReasonBadDelivery           Reason = "bad_delivery"
 	ReasonReplicasFull          Reason = "replicas_full"
 	ReasonDialFailed            Reason = "dial_failed"
 	ReasonRefused               Reason = "refused_by_runner"
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -13,6 +13,9 @@
 // deliveryIdleTimeout is how long a connection of another node may be idle.
 const deliveryIdleTimeout = 60 * time.Second
 
+// refusedDeliveryRetryAfter is the Retry-After time of a request that no node takes over.
+const refusedDeliveryRetryAfter = 500 * time.Millisecond
+
 // deliveryServer serves the requests that other nodes hand over. It listens on the address
 // for heartbeats.
 func (n *Node) deliveryServer() *http.Server {
@@ -22,25 +25,34 @@
 	}
 }
 
-// serveDelivery serves a request that another node hands over. Only addresses from which
-// heartbeats come are served.
+// serveDelivery serves a request that another node hands over. Only nodes that this one knows are
+// served: those that it has heard of by heartbeats or in the store.
 func (n *Node) serveDelivery(w http.ResponseWriter, r *http.Request) {
+	sender := deliverer.Sender(r.Header)
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil || !n.beater.HasPeerAt(host) {
-		n.Log.Warn("request from an unknown node is rejected", "address", r.RemoteAddr, "from_node", deliverer.Sender(r.Header),
-			"request", n.Platform.ParseRequest(r).ID, "known_nodes", n.beater.PeerCount(), "age_ms", time.Since(n.startedAt).Milliseconds())
-		w.WriteHeader(http.StatusForbidden)
+	if err != nil || !n.beater.Knows(sender, host) {
+		n.Log.Warn("request from an unknown node is refused", "address", r.RemoteAddr, "from_node", sender, "known_nodes", n.beater.PeerCount(),
+			"age_ms", time.Since(n.startedAt).Milliseconds())
+		n.refuseDelivery(w, r, responder.ReasonUnknownPeer, "this node does not know the node that hands the request over")
 		return
 	}
 	d, err := deliverer.ParseDelivery(r.Header)
 	if err != nil {
-		n.Log.Warn("request from another node cannot be decoded", "address", r.RemoteAddr, "error", err)
-		w.WriteHeader(http.StatusBadRequest)
+		n.refuseDelivery(w, r, responder.ReasonBadDelivery, err.Error())
 		return
 	}
 	n.serve(w, r, &d)
 }
 
+// refuseDelivery refuses a request of another node, which may hand it over to a third one.
+func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, reason responder.Reason, message string) {
+	d := &deliverer.Delivery{Node: deliverer.Sender(r.Header)}
+	n.fail(&callerResponse{ResponseWriter: w}, nil, d, &responder.Failure{
+		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: reason, Message: message,
+		RequestID: n.Platform.ParseRequest(r).ID, RetryAfter: refusedDeliveryRetryAfter,
+	})
+}
+
 // reply adds to the header of a response what the other node needs, if the call was handed
 // over by one.
 func reply(w http.ResponseWriter, d *deliverer.Delivery, c *relayer.Call, f *responder.Failure) {
--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -167,16 +167,13 @@
 	return a.String(), true
 }
 
-// HasPeerAt reports whether another node sends heartbeats from an IP address.
-func (b *Beater) HasPeerAt(ip string) bool {
+// Knows reports whether a node of a name is known to have an IP address, from its heartbeats or
+// from the store.
+func (b *Beater) Knows(name, ip string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, a := range b.addrs {
-		if _, ok := b.peers[name]; ok && a.IP.String() == ip {
-			return true
-		}
-	}
-	return false
+	a, ok := b.addrs[name]
+	return ok && a.IP.String() == ip
 }
 
 // PeerCount returns the number of other nodes that heartbeats are sent to, live or
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -60,10 +60,16 @@
 	return nil, failure
 }
 
-// isLeftToOthers reports whether another node has not taken a call for a reason that others
-// need not have: it reaches no runner either, or stops.
+// isLeftToOthers reports whether another node has not taken a call for a reason that others need
+// not have: it reaches no runner either, stops, or does not know this node.
 func isLeftToOthers(f *responder.Failure) bool {
-	return f.Reason == responder.ReasonUnreachable || f.Reason == responder.ReasonShuttingDown && f.Outcome == responder.NotRun
+	switch f.Reason {
+	case responder.ReasonUnreachable:
+		return true
+	case responder.ReasonShuttingDown, responder.ReasonUnknownPeer, responder.ReasonBadDelivery:
+		return f.Outcome == responder.NotRun
+	}
+	return false
 }
 
 func unreachableFailure(c *Call) *responder.Failure {
--- a/internal/serving/relayer/retry.go
+++ b/internal/serving/relayer/retry.go
@@ -66,7 +66,8 @@
 // waits on for as long as its caller does, since it cannot be refused any more.
 func isNotPlaced(f *responder.Failure) bool {
 	switch f.Reason {
-	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull:
+	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull,
+		responder.ReasonUnknownPeer, responder.ReasonBadDelivery:
 		return f.Outcome == responder.NotRun
 	}
 	return false
@@ -98,6 +99,7 @@
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
 	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
+		responder.ReasonUnknownPeer, responder.ReasonBadDelivery,
 		responder.ReasonPartBlocked, responder.ReasonRequestBlocked:
 		return false
 	}
