Hand requests over only to nodes of which something shows that they reach the runners

What callers saw: when a data centre is cut off, the nodes elsewhere name its runners as lost. And nodes of which no runner had just answered were not asked at all while one such node was listed, even if that one had been tried and had failed: in TestAnswerThatNoRunnerGaveIsNotPassedOn 0 of 97 requests were served although two nodes reached all runners.

Cause: the absence of a report counted as evidence, and the choice was made before the nodes that had been tried were left out.

A node that has run for less than 2 s takes none. Its low load needs no further care: of two draws among n nodes one that seems idle gets at most twice its share.

Without the age, TestNodeThatHasTriedNothingTakesNoRequests fails: "has just started: evidence 0, want -1" (mutant).

--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -28,6 +28,9 @@
 	// maxPeerReachAge is the greatest age of a heartbeat that shows what its node reaches,
 	// beyond the interval between two.
 	maxPeerReachAge = 400 * time.Millisecond
+	// minPeerAge is the time after its start in which a node has tried too few runners for its
+	// heartbeats to show what it reaches.
+	minPeerAge = 2 * time.Second
 )
 
 // reachTarget is a runner that gets requests.
@@ -184,36 +187,44 @@
 }
 
 // deliveryPeers returns the nodes that reach runners which can serve a model and are out of
-// reach of this node, as far as their heartbeats show. Those that a runner of the service has
-// just answered go before others.
+// reach of this node, as far as their heartbeats show.
 func (n *Node) deliveryPeers(service, model string) []deliverer.Peer {
 	lost := n.unreachedDataCenters(service, model)
-	answered, others := []deliverer.Peer{}, []deliverer.Peer{}
+	list := []deliverer.Peer{}
+	now := time.Now()
 	for _, p := range n.beater.Live() {
-		reaches := slices.ContainsFunc(lost, func(dataCenter string) bool {
-			return !slices.Contains(p.Unreached, observer.Group{Service: service, DataCenter: dataCenter})
-		})
-		if p.Leaving || !reaches || time.Since(p.SeenAt) > p.Interval()+maxPeerReachAge {
+		evidence, ok := reachEvidence(&p, service, lost, now)
+		if !ok {
 			continue
 		}
 		address, ok := n.beater.Address(p.Node)
 		if !ok {
 			continue
 		}
-		x := deliverer.Peer{
-			Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Load: inFlight(&p.Heartbeat),
-			Age: p.Age(), HeartbeatAge: time.Since(p.SeenAt),
-		}
-		if slices.Contains(p.Answering, service) {
-			answered = append(answered, x)
-		} else {
-			others = append(others, x)
-		}
+		list = append(list, deliverer.Peer{
+			Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Evidence: evidence, Load: inFlight(&p.Heartbeat),
+			Age: p.Age(), HeartbeatAge: now.Sub(p.SeenAt),
+		})
 	}
-	if len(answered) > 0 {
-		return answered
+	return list
+}
+
+// reachEvidence returns what speaks for a node reaching runners of a service in one of some data
+// centres, and false if nothing does. That a node which has just started misses none proves
+// nothing: it has tried few.
+func reachEvidence(p *beater.Peer, service string, dataCenters []string, now time.Time) (deliverer.Evidence, bool) {
+	missesAll := !slices.ContainsFunc(dataCenters, func(dataCenter string) bool {
+		return !slices.Contains(p.Unreached, observer.Group{Service: service, DataCenter: dataCenter})
+	})
+	switch {
+	case p.Leaving, missesAll, p.Age() < minPeerAge, now.Sub(p.SeenAt) > p.Interval()+maxPeerReachAge:
+		return 0, false
+	case !p.HasHeard():
+		return deliverer.Unheard, true
+	case slices.Contains(p.Answering, service):
+		return deliverer.Answered, true
 	}
-	return others
+	return deliverer.NotMissed, true
 }
 
 // unreachedDataCenters returns the data centres in which runners that can serve a model are
--- a/internal/peer/beater/schedule.go
+++ b/internal/peer/beater/schedule.go
@@ -93,6 +93,9 @@
 	return now.Sub(p.SeenAt) < liveTimeout(p.Interval())
 }
 
+// HasHeard reports whether the node has received a heartbeat of this process.
+func (p *Peer) HasHeard() bool { return p.Echo != 0 }
+
 // Interval returns the time between two heartbeats of the node to this one.
 func (b *Heartbeat) Interval() time.Duration {
 	return time.Duration(b.IntervalMS) * time.Millisecond
--- a/internal/peer/deliverer/deliverer.go
+++ b/internal/peer/deliverer/deliverer.go
@@ -1,6 +1,7 @@
 package deliverer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -22,6 +23,19 @@
 
 var requestsDelivered = metrics.NewCounter(`marjorammoor_requests_delivered_total`)
 
+// Evidence is what speaks for a node reaching runners. Less is better.
+type Evidence int
+
+// The evidence.
+const (
+	// Answered: a runner of the service has just answered the node.
+	Answered Evidence = iota
+	// NotMissed: the node has run for a while, and misses none of the runners.
+	NotMissed
+	// Unheard: the node has not shown that it has heard of this one, and may refuse.
+	Unheard
+)
+
 // Peer is a node that may take a request over.
 type Peer struct {
 	Name string
@@ -29,6 +43,8 @@
 	Address string
 	// IsRemote is set if the node is in another data centre.
 	IsRemote bool
+	// Evidence speaks for the node reaching runners that this one does not reach.
+	Evidence Evidence
 	// Load is the number of requests that it has in flight, as it last reported.
 	Load int
 	// Age is how long its process has sent heartbeats, and HeartbeatAge the time since the
@@ -57,8 +73,8 @@
 	return ok
 }
 
-// Choose returns the node that takes a request for a model of a service over: of two drawn at random,
-// the one with less load. Those tried before are left out.
+// Choose returns the node that takes a request for a model of a service over: of two drawn at random
+// among those for which most speaks, the one with less load. Those tried before are left out.
 func (d *Deliverer) Choose(service, model string, tried []string) (Peer, bool) {
 	if d == nil {
 		return Peer{}, false
@@ -72,6 +88,8 @@
 	if len(list) == 0 {
 		return Peer{}, false
 	}
+	best := slices.MinFunc(list, func(x, y Peer) int { return cmp.Compare(x.Evidence, y.Evidence) }).Evidence
+	list = slices.DeleteFunc(list, func(p Peer) bool { return p.Evidence > best })
 	x, y := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
 	if d.load(y) < d.load(x) {
 		return y, true
