Answer nodes that have just started at once, and send to new addresses at once

What callers would see: for one to two and a half seconds after a node's start, at 195 nodes, nodes do not know each other.

Cause: an address that was just found waited for its turn, which is one in seven intervals with 194 nodes of unknown data centres, and a node whose data centre had just got the heartbeat that comes in every third period waited for the next one, up to 1.8 s, or 4 s at 360 nodes. A lost datagram doubled that. With six nodes each waits for 0.15 s.

Now an address that is new gets a heartbeat in the next interval, and so does a node whose last heartbeat echoes none of this process. A lost one is made up for by the next heartbeat of either side. This adds at most one heartbeat for each one received.

Ruled out: load and clocks (virtual time, no losses in the script that failed).

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -100,6 +100,9 @@
 	addrs   map[string]*net.UDPAddr
 	peers   map[string]*Peer
 	addedAt map[string]time.Time
+	// waiting are the nodes that get a heartbeat whatever their turn is: those whose address
+	// is new, and those that seem to have received none of this process.
+	waiting map[string]bool
 	grants  grantLog
 	// published holds the changes that were published last, by kind.
 	published map[string]follower.Changes
@@ -129,7 +132,7 @@
 // addLocked sets the address of a peer. The caller holds b.mu.
 func (b *Beater) addLocked(name string, a *net.UDPAddr) {
 	if b.addrs == nil {
-		b.addrs, b.peers, b.addedAt = map[string]*net.UDPAddr{}, map[string]*Peer{}, map[string]time.Time{}
+		b.addrs, b.peers, b.addedAt, b.waiting = map[string]*net.UDPAddr{}, map[string]*Peer{}, map[string]time.Time{}, map[string]bool{}
 	}
 	old, ok := b.addrs[name]
 	if ok && old.String() == a.String() {
@@ -137,6 +140,7 @@
 	}
 	b.addrs[name] = a
 	b.addedAt[name] = time.Now()
+	b.waiting[name] = true
 	if ok {
 		b.Log.Info("peer has another address", "peer", name, "address", a.String(), "before", old.String())
 	}
@@ -238,21 +242,23 @@
 	echoStart int64
 	// turn spreads the heartbeats to the nodes of a data centre over time.
 	turn uint64
+	// isWaiting is set if the node gets a heartbeat whatever its turn is.
+	isWaiting bool
 }
 
 func (b *Beater) send() {
 	destinations, sequence := b.destinations()
 	plan := newSchedule(destinations, b.DataCenter)
 	isLarge := len(destinations) > maxFullHeartbeatNodes
-	messages := map[string][]byte{}
+	regular, extra := messages{}, messages{}
 	for _, d := range destinations {
-		if !plan.isDue(&d, sequence) {
-			continue
+		limited := isLarge && d.isRemote(b.DataCenter)
+		message := []byte(nil)
+		if plan.isDue(&d, sequence) {
+			message = regular.get(d.dataCenter, func() []byte { return b.message(&d, &plan, sequence, limited) })
 		}
-		message, ok := messages[d.dataCenter]
-		if !ok {
-			message = b.message(&d, &plan, sequence, isLarge && d.isRemote(b.DataCenter))
-			messages[d.dataCenter] = message
+		if message == nil && d.isWaiting {
+			message = extra.get(d.dataCenter, func() []byte { return b.extraMessage(&d, &plan, sequence, limited) })
 		}
 		if message == nil {
 			continue
@@ -262,6 +268,19 @@
 	}
 }
 
+// messages are the datagrams of one interval by data centre. One is nil if none is to be sent.
+type messages map[string][]byte
+
+// get returns the datagram to a data centre and makes it if there is none yet.
+func (m messages) get(dataCenter string, build func() []byte) []byte {
+	message, ok := m[dataCenter]
+	if !ok {
+		message = build()
+		m[dataCenter] = message
+	}
+	return message
+}
+
 // message returns the datagram with the next heartbeat to a data centre, or nil if none
 // is to be sent. A limited heartbeat that would hold nothing is sent less often.
 func (b *Beater) message(d *destination, plan *schedule, sequence uint64, limited bool) []byte {
@@ -277,6 +296,17 @@
 	return b.encode(beat)
 }
 
+// extraMessage returns the datagram with a heartbeat beside those to a whole data centre.
+func (b *Beater) extraMessage(d *destination, plan *schedule, sequence uint64, limited bool) []byte {
+	beat := b.next(d.dataCenter, sequence, limited)
+	interval := plan.interval(d, b.interval())
+	if limited && beat.isEmpty() {
+		interval *= idlePeriods
+	}
+	beat.IntervalMS = interval.Milliseconds()
+	return b.encode(beat)
+}
+
 // destinations returns the nodes to send to and the sequence number of the next
 // heartbeat. It removes the nodes that have been silent for forgetAfter.
 func (b *Beater) destinations() ([]destination, uint64) {
@@ -297,8 +327,10 @@
 			delete(b.addrs, name)
 			continue
 		}
+		d.isWaiting = b.waiting[name]
 		to = append(to, d)
 	}
+	clear(b.waiting)
 	return to, b.sequence
 }
 
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -181,5 +181,8 @@
 		b.Log.Info("peer is live again", "peer", beat.Node, "address", from.String(), "start", beat.Start, "silent_ms", time.Since(old.SeenAt).Milliseconds())
 	}
 	b.peers[beat.Node] = &Peer{Heartbeat: *beat, SeenAt: time.Now()}
+	if beat.Echo == 0 {
+		b.waiting[beat.Node] = true
+	}
 	return true
 }
