State intervals that hold while a node still finds the others

What nodes would see: healthy nodes that seem dead to others in the first seconds of a start, at 195 and 360 nodes, also without any lost datagram. A node that seems dead is left out where domains, the watch of the store and retries are divided.

Cause: the interval in a heartbeat followed from the nodes known so far. A node that knew few stated 0.15 s or 0.3 s, found the others within a few tenths of a second, and sent the next heartbeat to another data centre after up to 4 s, the interval for nodes without content at the new number of nodes. Receivers wait for 1.5 s at least, or seven intervals.

Now nodes of unknown data centres count as nodes of others, a heartbeat to one states the longest interval that it may turn out to get, and a heartbeat without content is left out only if the turn after it is in time for what the last one has stated.

Ruled out: the limit of seven intervals as such; TestSchedule, with a fixed list of nodes, passes.

Before the fix:

--- a/internal/peer/beater/schedule.go
+++ b/internal/peer/beater/schedule.go
@@ -38,6 +38,9 @@
 	// localPeriod and remotePeriod are the numbers of intervals between two heartbeats
 	// to the same node of this data centre and of another one.
 	localPeriod, remotePeriod uint64
+	// unknownPeriod is the greatest number of intervals between two heartbeats to a node if it
+	// turns out to be in another data centre.
+	unknownPeriod uint64
 	// remote are the names of the other data centres, sorted.
 	remote []string
 }
@@ -45,8 +48,11 @@
 // newSchedule returns the schedule for a list of destinations.
 func newSchedule(destinations []destination, own string) schedule {
 	s := schedule{own: own}
-	remoteNodes := 0
+	remoteNodes, unknownNodes := 0, 0
 	for _, d := range destinations {
+		if d.isUnknown(own) {
+			unknownNodes++
+		}
 		if !d.isRemote(own) {
 			continue
 		}
@@ -57,7 +63,10 @@
 	}
 	slices.Sort(s.remote)
 	s.localPeriod = period(len(destinations)-remoteNodes, maxLocalNodes)
-	s.remotePeriod = period(remoteNodes, maxRemoteNodes)
+	s.remotePeriod = period(remoteNodes+unknownNodes, maxRemoteNodes)
+	if len(destinations) > maxFullHeartbeatNodes {
+		s.unknownPeriod = idlePeriods * s.remotePeriod
+	}
 	return s
 }
 
@@ -75,8 +84,12 @@
 	return (sequence+d.turn)%s.localPeriod == 0
 }
 
-// interval returns the time between two heartbeats to a node.
+// interval returns the time between two heartbeats to a node. One whose data centre is not
+// known yet may turn out to be in another one.
 func (s *schedule) interval(d *destination, base time.Duration) time.Duration {
+	if d.isUnknown(s.own) {
+		return time.Duration(max(s.localPeriod, s.unknownPeriod)) * base
+	}
 	if d.isRemote(s.own) {
 		return time.Duration(s.remotePeriod) * base
 	}
@@ -88,6 +101,9 @@
 	return d.dataCenter != "" && d.dataCenter != own
 }
 
+// isUnknown reports whether a destination may be in another data centre.
+func (d *destination) isUnknown(own string) bool { return d.dataCenter == "" && own != "" }
+
 // isLive reports whether a node still counts as live.
 func (p *Peer) isLive(now time.Time) bool {
 	return now.Sub(p.SeenAt) < liveTimeout(p.Interval())
@@ -115,10 +131,10 @@
 type idleLog map[string]sentBeat
 
 type sentBeat struct {
-	sequence uint64
 	// isIdle is set if the heartbeat has told its receivers to expect the next one only
-	// after idlePeriods.
+	// after idlePeriods, and next is the sequence number of that one.
 	isIdle bool
+	next   uint64
 }
 
 // next reports whether the heartbeat with a sequence number is to be sent, and the
@@ -126,13 +142,13 @@
 func (l *idleLog) next(dataCenter string, sequence, period uint64, isEmpty bool, base time.Duration) (time.Duration, bool) {
 	interval := time.Duration(period) * base
 	last, ok := (*l)[dataCenter]
-	if ok && isEmpty && last.isIdle && sequence-last.sequence < idlePeriods*period {
+	if ok && isEmpty && last.isIdle && sequence+period <= last.next {
 		return 0, false
 	}
 	if *l == nil {
 		*l = idleLog{}
 	}
-	(*l)[dataCenter] = sentBeat{sequence, isEmpty}
+	(*l)[dataCenter] = sentBeat{isIdle: isEmpty, next: sequence + idlePeriods*period}
 	if isEmpty {
 		interval *= idlePeriods
 	}
--- a/internal/peer/beater/schedule_test.go
+++ b/internal/peer/beater/schedule_test.go
@@ -114,3 +114,21 @@
 		t.Errorf("%d of %d heartbeats sent, %d of them with content", sent, all, busy)
 	}
 }
+
+// TestStatedIntervalIsKeptAsNodesAreFound guards against a node that seems dead because it found
+// more nodes since its last heartbeat without content.
+func TestStatedIntervalIsKeptAsNodesAreFound(t *testing.T) {
+	const period = 4
+	l := idleLog{}
+	interval, _ := l.next("x", period-1, 1, true, DefaultInterval)
+	expected := (period-1)*DefaultInterval + interval
+	for sequence := uint64(period); ; sequence += period {
+		if _, isDue := l.next("x", sequence, period, true, DefaultInterval); !isDue {
+			continue
+		}
+		if at := time.Duration(sequence) * DefaultInterval; at > expected {
+			t.Errorf("heartbeat at %v, want it by %v", at, expected)
+		}
+		return
+	}
+}
