Repeat that heartbeats come less often until each node has echoed it

What nodes would see: a healthy node of another data centre seems dead for a second or two, at 195 nodes, after its requests have ended or while nodes start again.

Cause: a node without content sends to another data centre in every third turn only, and said so in one heartbeat. Whoever lost it still counted seven of the short intervals, within which only two more heartbeats come: two lost in a row were enough, where the design wants seven. TestSchedule has losses but no pauses, TestIdleHeartbeats pauses but no losses.

Now each node that has echoed none of the heartbeats without content gets them at each of its turns. Nothing changes for the others.

Ruled out: more heartbeats for whole data centres (TestIdleHeartbeats, which bounds them, is unchanged), and a longer time until a node seems dead, which would hold for nodes that are.

Before the fix:

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -240,6 +240,8 @@
 	// echo and echoStart are SentAt and Start of the node's last heartbeat.
 	echo      int64
 	echoStart int64
+	// heard is the SentAt of this process that the node's last heartbeat echoes.
+	heard int64
 	// turn spreads the heartbeats to the nodes of a data centre over time.
 	turn uint64
 	// isWaiting is set if the node gets a heartbeat whatever its turn is.
@@ -254,10 +256,11 @@
 	for _, d := range destinations {
 		limited := isLarge && d.isRemote(b.DataCenter)
 		message := []byte(nil)
-		if plan.isDue(&d, sequence) {
+		isDue := plan.isDue(&d, sequence)
+		if isDue {
 			message = regular.get(d.dataCenter, func() []byte { return b.message(&d, &plan, sequence, limited) })
 		}
-		if message == nil && d.isWaiting {
+		if message == nil && (d.isWaiting || isDue && b.idle.mayExpectSooner(&d)) {
 			message = extra.get(d.dataCenter, func() []byte { return b.extraMessage(&d, &plan, sequence, limited) })
 		}
 		if message == nil {
@@ -291,6 +294,7 @@
 		if interval, isDue = b.idle.next(d.dataCenter, sequence, plan.remotePeriod, beat.isEmpty(), b.interval()); !isDue {
 			return nil
 		}
+		b.idle.recordSince(d.dataCenter, beat)
 	}
 	beat.IntervalMS = interval.Milliseconds()
 	return b.encode(beat)
@@ -318,7 +322,7 @@
 		d := destination{address: a, turn: uint64(a.AddrPort().Addr().As4()[3]) + uint64(a.Port)}
 		seen := b.addedAt[name]
 		if p, ok := b.peers[name]; ok {
-			d.dataCenter, d.echo, d.echoStart = p.DataCenter, p.SentAt, p.Start
+			d.dataCenter, d.echo, d.echoStart, d.heard = p.DataCenter, p.SentAt, p.Start, p.Echo
 			if p.SeenAt.After(seen) {
 				seen = p.SeenAt
 			}
--- a/internal/peer/beater/schedule.go
+++ b/internal/peer/beater/schedule.go
@@ -135,6 +135,8 @@
 	// after idlePeriods, and next is the sequence number of that one.
 	isIdle bool
 	next   uint64
+	// since is SentAt of the first of the heartbeats without content up to this one.
+	since int64
 }
 
 // next reports whether the heartbeat with a sequence number is to be sent, and the
@@ -148,13 +150,32 @@
 	if *l == nil {
 		*l = idleLog{}
 	}
-	(*l)[dataCenter] = sentBeat{isIdle: isEmpty, next: sequence + idlePeriods*period}
+	if !isEmpty {
+		last.since = 0
+	}
+	(*l)[dataCenter] = sentBeat{isIdle: isEmpty, next: sequence + idlePeriods*period, since: last.since}
 	if isEmpty {
 		interval *= idlePeriods
 	}
 	return interval, true
 }
 
+// recordSince records a heartbeat to a data centre as the first one without content, if it is.
+func (l idleLog) recordSince(dataCenter string, beat *Heartbeat) {
+	last := l[dataCenter]
+	if last.isIdle && last.since == 0 {
+		last.since = beat.SentAt
+		l[dataCenter] = last
+	}
+}
+
+// mayExpectSooner reports whether a node may not know yet that it gets heartbeats less often,
+// since it has echoed none of those without content.
+func (l idleLog) mayExpectSooner(d *destination) bool {
+	last := l[d.dataCenter]
+	return last.isIdle && d.heard < last.since
+}
+
 // isEmpty reports whether a heartbeat tells only that its node is live.
 func (b *Heartbeat) isEmpty() bool {
 	return !b.Leaving && len(b.InFlight)+len(b.InFlightTotals)+len(b.Demand)+len(b.Failing)+len(b.Limits)+len(b.Unreached)+len(b.LeavingRunners) == 0 &&
