Have other nodes relay the next changes

What nodes would see: while a node that relays changes is down, the eight nodes behind it miss each change, at 72 nodes in a data centre, until it seems dead after 3.15 s, and each of them reads the store every 0.4 s. If the store refuses them in that time (a partial outage), their copies get old and they refuse callers.

Cause: the nodes that relay were always the same ones, so the repetition of a change in the next datagram, which is to repair a lost one, took the way on which it was lost. Up to 13 nodes in a data centre there are no relays.

Now the nodes take turns, datagram by datagram.

Test in virtual time: 72 nodes, three of those that relay stop, two start again, a change every 0.2 s. Before the fix:

clusters_test.go:55: 63 reads of the store in 45 changes clusters_test.go:58: nodes had to read the store 63 times, want at most 0 --- FAIL: TestClusters/changes_reach_72_nodes_while_those_that_relay_them_start_again

The longest time without a change is bounded by seven intervals and 0.4 s in both.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -106,6 +106,8 @@
 	grants  grantLog
 	// published holds the changes that were published last, by kind.
 	published map[string]follower.Changes
+	// relayed counts the datagrams that were sent by way of other nodes.
+	relayed atomic.Uint64
 	// idle decides which heartbeats that would hold nothing are sent. Only send uses it.
 	idle idleLog
 }
--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -57,9 +57,10 @@
 }
 
 // sendToLocal sends a datagram to the live nodes of this data centre, to some of them by
-// way of others.
+// way of others. Those that relay change each time, so that what one of them loses while it
+// stops comes with the next datagram.
 func (b *Beater) sendToLocal(kind byte, packed []byte) {
-	for _, group := range relayGroups(b.localPeers()) {
+	for _, group := range relayGroups(rotate(b.localPeers(), b.relayed.Add(1))) {
 		if len(group) == 1 {
 			b.write(append([]byte{kind}, packed...), group[0].address)
 			continue
@@ -120,6 +121,15 @@
 	return list
 }
 
+// rotate returns a list that begins n places later and ends with what was there before.
+func rotate(list []localPeer, n uint64) []localPeer {
+	if len(list) == 0 {
+		return nil
+	}
+	first := n % uint64(len(list))
+	return slices.Concat(list[first:], list[:first])
+}
+
 // relayGroups divides nodes into groups. The first node of each group gets the changes
 // from the sender and relays them to the rest of the group.
 func relayGroups(list []localPeer) [][]localPeer {
--- a/internal/peer/beater/cluster_test.go
+++ b/internal/peer/beater/cluster_test.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"marjorammoor/internal/store/follower"
 )
 
 // A cluster is a number of beaters without a network in virtual time: each keeps its real
@@ -50,6 +52,12 @@
 	ContentMS int64 `json:"content_ms"`
 	// HandOvers means that no request may be handed over to a node that would refuse it.
 	HandOvers bool `json:"hand_overs"`
+	// PublishMS is the time between two changes in the store, which the first node of each data
+	// centre watches; 0 means that there are none. Each node has one ChangedMS later, and at
+	// most MaxReads times one has to read the store.
+	PublishMS int64 `json:"publish_ms"`
+	ChangedMS int64 `json:"changed_ms"`
+	MaxReads  int   `json:"max_reads"`
 	// MaxPerSecond is the most heartbeats that a node may send in a second, on average.
 	MaxPerSecond float64 `json:"max_per_second"`
 }
@@ -57,7 +65,7 @@
 // clusterEvent is something that happens to a node, named by its number, or to a data centre.
 type clusterEvent struct {
 	AtMS int `json:"at_ms"`
-	// Do is stop, start, replace (start at another address), cut or join (a data centre),
+	// Do is stop, start, resume (start again), replace (start at another address), cut or join (a data centre),
 	// restart (nodes of each data centre in turn, one each EveryMS, down for DownMS).
 	Do         string  `json:"do"`
 	Node       int     `json:"node"`
@@ -83,6 +91,7 @@
 	busyOffset int64
 	// moves counts the changes of its address.
 	moves int
+	copy  copyModel
 }
 
 type flight struct {
@@ -106,6 +115,8 @@
 	// later holds what the script does, by millisecond.
 	later map[int64][]func()
 	sent  int
+	// reads counts how often a node had to read changes from the store.
+	reads int
 	// onStep is called at each step.
 	onStep func()
 }
@@ -149,7 +160,7 @@
 	switch e.Do {
 	case "stop":
 		c.at(e.AtMS, func() { c.stop(c.members[e.Node]) })
-	case "start":
+	case "start", "resume":
 		c.at(e.AtMS, func() { c.start(c.members[e.Node]) })
 	case "replace":
 		c.at(e.AtMS, func() {
@@ -188,8 +199,13 @@
 	m.host = m.address.Addr().String()
 	b := &Beater{Self: m.name, DataCenter: fmt.Sprint("dc", m.dataCenter), Log: slog.New(slog.DiscardHandler)}
 	b.start, b.address = time.Now().UnixMilli(), m.address.String()
-	b.Fill = func(h *Heartbeat, _ string, _ bool) {
+	m.copy = copyModel{}
+	b.OnChanges, b.OnHeartbeat = m.copy.apply, m.copy.compare
+	b.Fill = func(h *Heartbeat, dataCenter string, _ bool) {
 		h.ReachesStore = true
+		if c.script.PublishMS > 0 && m.watches() && dataCenter == m.DataCenter {
+			h.Copies = map[string]follower.Copy{changedKind: {LastChange: at(m.copy.revision), At: at(m.copy.revision), AgeMS: 1}}
+		}
 		if c.isBusy(m, time.Now()) {
 			h.InFlight = map[string]int{"r": 1}
 		}
@@ -216,6 +232,7 @@
 // list tells a node the addresses of the others, as the announcer does.
 func (c *cluster) list(m *member) {
 	m.listed = true
+	m.copy.read(c.revision())
 	for i, o := range c.members {
 		if o.Beater == nil || c.script.Seeds > 0 && i >= c.script.Seeds {
 			continue
--- a/internal/peer/beater/clusters_test.go
+++ b/internal/peer/beater/clusters_test.go
@@ -38,16 +38,25 @@
 func playCluster(t *testing.T, s clusterScript) {
 	c := newCluster(t, s, clusterSeed)
 	k := &clusterChecks{cluster: c}
-	c.onStep = k.check
+	c.onStep = func() {
+		k.check()
+		k.publish()
+	}
 	c.startAll()
 	c.run()
-	for _, f := range []*fault{&k.unknown, &k.dead, &k.late, &k.refused} {
+	for _, f := range []*fault{&k.unknown, &k.dead, &k.late, &k.refused, &k.unchanged} {
 		if f.count > 0 {
 			t.Errorf("%d times in checks every %v, first at %v: "+f.format, append([]any{f.count, checkInterval, f.at}, f.values...)...)
 		}
 	}
 	perSecond := float64(c.sent) / float64(s.Nodes) / c.elapsed().Seconds()
 	t.Logf("%.0f datagrams a second and node, all known after at most %v", perSecond, k.known)
+	if s.PublishMS > 0 {
+		t.Logf("%d reads of the store in %d changes", c.reads, c.revision())
+	}
+	if c.reads > s.MaxReads {
+		t.Errorf("nodes had to read the store %d times, want at most %d", c.reads, s.MaxReads)
+	}
 	if s.MaxPerSecond > 0 && perSecond > s.MaxPerSecond {
 		t.Errorf("%.0f datagrams a second and node, want at most %.0f", perSecond, s.MaxPerSecond)
 	}
@@ -56,7 +65,7 @@
 // clusterChecks are the properties that hold for each pair of nodes at any time.
 type clusterChecks struct {
 	*cluster
-	unknown, dead, late, refused fault
+	unknown, dead, late, refused, unchanged fault
 	// known is the greatest time after a start at which a node was not known yet.
 	known time.Duration
 }
