Relay changes to all nodes whose address is known

What nodes would see: at more than 13 nodes in a data centre, a change that a node relays right after its start reaches none of the nodes behind it. Cause: it relayed only to nodes of which it had had a heartbeat, though it knows their addresses from the store.

Before the fix:

beater_test.go:284: c has received [], want one change --- FAIL: TestNodeThatHasJustStartedRelays

The mutant was run and fails.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -164,15 +164,20 @@
 
 // Address returns the address from which a node sends heartbeats, as ip:port.
 func (b *Beater) Address(name string) (string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a, ok := b.addrs[name]
+	a, ok := b.peerAddress(name)
 	if !ok {
 		return "", false
 	}
 	return a.String(), true
 }
 
+func (b *Beater) peerAddress(name string) (a *net.UDPAddr, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok = b.addrs[name]
+	return a, ok
+}
+
 // Knows reports whether a node of a name is known to have an IP address, from its heartbeats or
 // from the store.
 func (b *Beater) Knows(name, ip string) bool {
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -261,6 +261,30 @@
 	}
 }
 
+// TestNodeThatHasJustStartedRelays guards against changes that are lost because the node that
+// relays them has not heard of the others yet.
+func TestNodeThatHasJustStartedRelays(t *testing.T) {
+	w := wire{}
+	a, b, c := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1"), w.add(t, "c", "10.0.0.3:1")
+	got := []follower.Changes{}
+	c.OnChanges = func(x follower.Changes) { got = append(got, x) }
+	a.AddPeer("b", "10.0.0.2:1")
+	b.AddPeer("c", "10.0.0.3:1")
+	packed, err := pack(&follower.Changes{Kind: "k", Since: at(3), At: at(5)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := encodeRelay([]localPeer{{name: "c"}, {name: "unknown"}}, changesKind, packed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, _ := a.peerAddress("b")
+	a.write(message, to)
+	if len(got) != 1 || got[0].At != at(5) {
+		t.Errorf("c has received %+v, want one change", got)
+	}
+}
+
 // TestPack checks that 300 similar objects fit into one datagram, and that changes
 // over the maximum uncompressed size are rejected, because a receiver would need too
 // much memory to decompress them.
--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -231,12 +231,13 @@
 	return nil
 }
 
-// relay sends the content of a relayMessage to those of its nodes that are live.
+// relay sends the content of a relayMessage to those of its nodes whose address is known,
+// whether or not this node has heard of them since its start.
 func (b *Beater) relay(r *relayMessage) {
 	message := append([]byte{r.Kind}, r.Packed...)
-	for _, n := range b.localPeers() {
-		if slices.Contains(r.To, n.name) {
-			b.write(message, n.address)
+	for _, name := range r.To {
+		if a, ok := b.peerAddress(name); ok {
+			b.write(message, a)
 		}
 	}
 }
--- a/internal/peer/beater/list.go
+++ b/internal/peer/beater/list.go
@@ -37,9 +37,7 @@
 
 // SendObject sends an object that the store may have lost to one node.
 func (b *Beater) SendObject(node string, o follower.Object) error {
-	b.mu.Lock()
-	address, ok := b.addrs[node]
-	b.mu.Unlock()
+	address, ok := b.peerAddress(node)
 	if !ok {
 		return fmt.Errorf("send %s to %s: no address", o.Name, node)
 	}
