Keep the address of a live node when an older list names another one

What callers would see: after a node was replaced at another address, a node that then lists the store's entries (every 30 s, and the list may be old; or after the store was restored from an older copy) hands requests over to the address before, which may be somebody else's, and refuses what the node itself hands over, until the node's next heartbeat: 0.15 s at six nodes, up to 1.8 s at 195 and 4 s at 360.

Cause: AddPeer took each listed address for the newest. Now only that of a node that is not live is taken.

Before the fix:

beater_test.go:273: a has 10.0.0.9:1 for b, want the address of its heartbeat --- FAIL: TestOldListMovesNoLiveNode

The mutant was run and fails.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -112,7 +112,8 @@
 	idle idleLog
 }
 
-// AddPeer adds a node to send heartbeats to. It ignores this node's own name.
+// AddPeer adds a node to send heartbeats to. It ignores this node's own name, and the address
+// of a live node, since the list that has it may be older than the node's heartbeats.
 func (b *Beater) AddPeer(name, address string) {
 	if name == b.Self {
 		return
@@ -128,6 +129,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if p, ok := b.peers[name]; ok && p.isLive(time.Now()) {
+		return // its heartbeats show where it is
+	}
 	b.addLocked(name, a)
 }
 
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -261,6 +261,24 @@
 	}
 }
 
+// TestOldListMovesNoLiveNode guards against requests and heartbeats that go to the address which a
+// node had before, and against its requests being refused.
+func TestOldListMovesNoLiveNode(t *testing.T) {
+	w := wire{}
+	a, b := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1")
+	b.AddPeer("a", "10.0.0.1:1")
+	b.send()
+	a.AddPeer("b", "10.0.0.9:1")
+	if address, _ := a.Address("b"); address != "10.0.0.2:1" || !a.Knows("b", "10.0.0.2") {
+		t.Errorf("a has %s for b, want the address of its heartbeat", address)
+	}
+	a.peers["b"].SeenAt = time.Now().Add(-minLiveTimeout)
+	a.AddPeer("b", "10.0.0.9:1")
+	if address, _ := a.Address("b"); address != "10.0.0.9:1" {
+		t.Errorf("a has %s for b, want the listed address of a node that is not live", address)
+	}
+}
+
 // TestNodeThatHasJustStartedRelays guards against changes that are lost because the node that
 // relays them has not heard of the others yet.
 func TestNodeThatHasJustStartedRelays(t *testing.T) {
