Leave facts out of a heartbeat that does not fit into a datagram

What nodes would see: a node that is in trouble with most of 1,900 runners at once (failing, suspected, unreachable, leaving, with limits) seems dead to all others, and is told of nothing. Cause: the size of a heartbeat was not checked. A datagram over 64 KB cannot be sent, and one over 60 KB is cut by the receiver; both were counted as an error and no more.

Now facts are left out, the most dispensable ones first and the requests in flight last, with a counter and a log line every ten seconds. 1,900 runners with requests in flight fit.

--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -42,6 +42,8 @@
 	// maxFullHeartbeatNodes is the number of other nodes above which a heartbeat to
 	// another data centre holds only requests in flight at runners there.
 	maxFullHeartbeatNodes = 12
+	// reductionLogInterval is the time between two log lines on heartbeats that are too large.
+	reductionLogInterval = 10 * time.Second
 )
 
 // The first byte of a datagram is its kind.
@@ -61,6 +63,7 @@
 	bytesSent      = metrics.NewCounter(`marjorammoor_beat_bytes_total{direction="sent"}`)
 	bytesReceived  = metrics.NewCounter(`marjorammoor_beat_bytes_total{direction="received"}`)
 	datagramErrors = metrics.NewCounter(`marjorammoor_beat_errors_total`)
+	beatsReduced   = metrics.NewCounter(`marjorammoor_beats_reduced_total`)
 )
 
 // Beater sends and receives heartbeats. Set Self, Fill and Log before use.
@@ -110,6 +113,8 @@
 	relayed atomic.Uint64
 	// idle decides which heartbeats that would hold nothing are sent. Only send uses it.
 	idle idleLog
+	// reductionLoggedAt is when a heartbeat was last logged of which facts were left out.
+	reductionLoggedAt time.Time
 }
 
 // AddPeer adds a node to send heartbeats to. It ignores this node's own name, and the address
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/store/sequencer"
 )
@@ -303,6 +304,36 @@
 	}
 }
 
+// TestNodeInTroubleWithAllRunnersIsHeard guards against a node that seems dead because what it
+// knows of 1,900 runners does not fit into a datagram.
+func TestNodeInTroubleWithAllRunnersIsHeard(t *testing.T) {
+	w := wire{}
+	a, b := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1")
+	largest := 0
+	transmit := b.Transmit
+	b.Transmit = func(message []byte, to *net.UDPAddr) error {
+		largest = max(largest, len(message))
+		return transmit(message, to)
+	}
+	b.Fill = func(h *Heartbeat, _ string, _ bool) {
+		h.ReachesStore, h.InFlight, h.Unreachable = true, map[string]int{}, map[string]string{}
+		h.Limits, h.LeavingRunners = map[string]balancer.ReportedLimit{}, map[string]int64{}
+		for i := range 1900 {
+			id := fmt.Sprintf("runner-%016x", i)
+			h.InFlight[id], h.Unreachable[id], h.Limits[id], h.LeavingRunners[id] = 1, "10.1.2.3:8300", balancer.ReportedLimit{}, 1<<40
+			h.Quiet, h.Suspects, h.Failing = append(h.Quiet, id), append(h.Suspects, id), append(h.Failing, id)
+		}
+	}
+	b.AddPeer("a", "10.0.0.1:1")
+	b.send()
+	if live := a.Live(); len(live) != 1 || !live[0].ReachesStore || len(live[0].InFlight) != 1900 {
+		t.Errorf("a knows %d live nodes, want b with its requests in flight", len(live))
+	}
+	if largest > maxDatagram {
+		t.Errorf("datagram of %d bytes, want at most %d", largest, maxDatagram)
+	}
+}
+
 // TestPack checks that 300 similar objects fit into one datagram, and that changes
 // over the maximum uncompressed size are rejected, because a receiver would need too
 // much memory to decompress them.
--- a/internal/peer/beater/message.go
+++ b/internal/peer/beater/message.go
@@ -108,20 +108,53 @@
 	return beat
 }
 
+// leaveOut are the facts that a heartbeat does without if it is too large for a datagram, the
+// most dispensable ones first: a node that sends none seems dead.
+var leaveOut = []func(*Heartbeat){
+	func(h *Heartbeat) { h.Limits = nil },
+	func(h *Heartbeat) { h.Failing = nil },
+	func(h *Heartbeat) { h.Unreachable, h.Reachable, h.Refusing = nil, nil, nil },
+	func(h *Heartbeat) { h.Breaker = breaker.Report{} },
+	func(h *Heartbeat) { h.Suspects = nil },
+	func(h *Heartbeat) { h.Quiet, h.QuietTotals = nil, nil },
+	func(h *Heartbeat) { h.Demand, h.WantsRetries, h.Answering = nil, nil, nil },
+	func(h *Heartbeat) { h.LeavingRunners = nil },
+	func(h *Heartbeat) { h.InFlight, h.InFlightTotals = nil, nil },
+}
+
 // encode returns a datagram with a heartbeat, in which setEcho must set the echo, or
 // nil if the heartbeat cannot be encoded.
 func (b *Beater) encode(beat *Heartbeat) []byte {
 	body, err := cbor.Marshal(beat)
+	size := len(body)
+	for i := 0; err == nil && 1+echoBytes+len(body) > maxDatagram && i < len(leaveOut); i++ {
+		leaveOut[i](beat)
+		body, err = cbor.Marshal(beat)
+	}
 	if err != nil {
 		datagramErrors.Inc()
 		b.Log.Error("heartbeat cannot be encoded; it is not sent", "error", err)
 		return nil
 	}
+	b.recordReduction(size, len(body))
 	message := make([]byte, 1+echoBytes, 1+echoBytes+len(body))
 	message[0] = beatKind
 	return append(message, body...)
 }
 
+// recordReduction counts a heartbeat of which facts are left out, and logs one in a while. Only
+// send uses it.
+func (b *Beater) recordReduction(size, reduced int) {
+	if reduced == size {
+		return
+	}
+	beatsReduced.Inc()
+	if time.Since(b.reductionLoggedAt) > reductionLogInterval {
+		b.reductionLoggedAt = time.Now()
+		b.Log.Warn("heartbeat does not fit into a datagram; facts are left out", "bytes", size, "sent_bytes", reduced)
+	}
+}
+
 var errBadDatagram = errors.New("datagram is of no known kind, or a heartbeat without a node name")
 
 // handleDatagram decodes one datagram and passes its content to the function for its
