Send changes to each node if the names of a group do not fit beside them

What nodes would see: changes of just under 60 KB reach no node of a data centre of more than 13, not even those that relay nothing; all of them read the store 0.4 s later. Cause: with the names of the nodes to relay to, the datagram was too large, and nothing more was sent. Now the changes go to each node of such a group directly.

Before the fix:

beater_test.go:283: 0 nodes have received the change, want 20 --- FAIL: TestChangesThatFitOnlyWithoutNamesArrive

Found by reading.

--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand"
 	"net"
 	"os"
 	"sync"
@@ -262,6 +263,27 @@
 	}
 }
 
+// TestChangesThatFitOnlyWithoutNamesArrive guards against changes that no node gets because they
+// leave no room for the names of those that they are relayed to.
+func TestChangesThatFitOnlyWithoutNamesArrive(t *testing.T) {
+	const nodes = 20
+	w := wire{}
+	a := w.add(t, "a", "10.0.0.1:1")
+	got := 0
+	for i := range nodes {
+		n := w.add(t, fmt.Sprintf("node-%060d", i), fmt.Sprintf("10.0.1.%d:1", i+1))
+		n.OnChanges = func(follower.Changes) { got++ }
+		n.AddPeer("a", "10.0.0.1:1")
+		n.send()
+	}
+	spec := make([]byte, maxDatagram-150)
+	rand.New(rand.NewSource(1)).Read(spec)
+	a.Publish(follower.Changes{Kind: "k", Since: at(3), At: at(5), Objects: []follower.Object{{Name: "r", At: at(5), Spec: spec}}})
+	if got != nodes {
+		t.Errorf("%d nodes have received the change, want %d", got, nodes)
+	}
+}
+
 // TestOldListMovesNoLiveNode guards against requests and heartbeats that go to the address which a
 // node had before, and against its requests being refused.
 func TestOldListMovesNoLiveNode(t *testing.T) {
--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -62,19 +62,26 @@
 func (b *Beater) sendToLocal(kind byte, packed []byte) {
 	for _, group := range relayGroups(rotate(b.localPeers(), b.relayed.Add(1))) {
 		if len(group) == 1 {
-			b.write(append([]byte{kind}, packed...), group[0].address)
+			b.sendToEach(group, kind, packed)
 			continue
 		}
 		message, err := encodeRelay(group[1:], kind, packed)
 		if err != nil {
-			datagramErrors.Inc()
-			b.Log.Error("datagram cannot be encoded for relaying; peers have to read the store", "bytes", len(packed), "error", err)
-			return
+			b.sendToEach(group, kind, packed)
+			continue
 		}
 		b.write(message, group[0].address)
 	}
 }
 
+// sendToEach sends a datagram that is too large to be relayed with the names of its receivers.
+func (b *Beater) sendToEach(group []localPeer, kind byte, packed []byte) {
+	message := append([]byte{kind}, packed...)
+	for _, n := range group {
+		b.write(message, n.address)
+	}
+}
+
 // withPrevious returns changes together with those of the same kind that were published
 // right before them, and remembers them for the next call. Of each object it keeps the
 // newest change.
