Take no denial of another node for this node's own

Cause: who may deny. The node that the caller asked has admitted the request by its own configuration; the other node's is no better evidence, and its refusal was passed on with its status.

Change: a failure of another node below 500 that says "not run" becomes 503, denied_by_peer, with when to come back; denials and "cannot decide" are left to other nodes at once, with no retry spent.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -58,6 +58,7 @@
 	ReasonUnreachable           Reason = "runners_unreachable"
 	ReasonUnknownPeer           Reason = "unknown_peer"
 	ReasonBadDelivery           Reason = "bad_delivery"
+	ReasonDeniedByPeer          Reason = "denied_by_peer"
 	ReasonReplicasFull          Reason = "replicas_full"
 	ReasonDialFailed            Reason = "dial_failed"
 	ReasonRefused               Reason = "refused_by_runner"
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -61,17 +61,42 @@
 }
 
 // isLeftToOthers reports whether another node has not taken a call for a reason that others need
-// not have: it reaches no runner either, stops, or does not know this node.
+// not have: it reaches no runner either, stops, or cannot decide on the call.
 func isLeftToOthers(f *responder.Failure) bool {
 	switch f.Reason {
 	case responder.ReasonUnreachable:
 		return true
-	case responder.ReasonShuttingDown, responder.ReasonUnknownPeer, responder.ReasonBadDelivery:
+	case responder.ReasonShuttingDown:
 		return f.Outcome == responder.NotRun
 	}
+	return f.Outcome == responder.NotRun && isPeerRefusal(f.Reason)
+}
+
+// isPeerRefusal reports whether a reason is only that of another node which cannot decide on a
+// call: it does not know this one, or has another configuration or none.
+func isPeerRefusal(reason responder.Reason) bool {
+	switch reason {
+	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale, responder.ReasonNoConfiguration:
+		return true
+	}
 	return false
 }
 
+// adoptFailure turns a failure of another node into one of this node. This node has admitted the
+// call, so the other one cannot deny it for good.
+func adoptFailure(c *Call, f *responder.Failure) *responder.Failure {
+	f.RequestID = c.ID
+	switch {
+	case f.Status >= http.StatusInternalServerError:
+	case f.Outcome == responder.NotRun:
+		f.Message = fmt.Sprintf("another node denies the request with %d, %s", f.Status, f.Message)
+		f.Status, f.Reason, f.RetryAfter = http.StatusServiceUnavailable, responder.ReasonDeniedByPeer, unreachableRetryAfter
+	default:
+		f.Status = http.StatusBadGateway
+	}
+	return f
+}
+
 func unreachableFailure(c *Call) *responder.Failure {
 	f := c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonUnreachable, "this node does not reach the runners, and no other node can take the request")
 	f.RetryAfter = unreachableRetryAfter
@@ -96,9 +121,8 @@
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, err.Error())
 	}
 	c.attempts = max(c.attempts, reply.Attempts)
-	if f := reply.Failure; f != nil {
-		f.RequestID = c.ID
-		return f
+	if reply.Failure != nil {
+		return adoptFailure(c, reply.Failure)
 	}
 	inspection := r.Wire.Inspect(response.Status, response.Header)
 	if inspection.isUnusable() {
--- a/internal/serving/relayer/retry.go
+++ b/internal/serving/relayer/retry.go
@@ -66,11 +66,10 @@
 // waits on for as long as its caller does, since it cannot be refused any more.
 func isNotPlaced(f *responder.Failure) bool {
 	switch f.Reason {
-	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull,
-		responder.ReasonUnknownPeer, responder.ReasonBadDelivery:
+	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull:
 		return f.Outcome == responder.NotRun
 	}
-	return false
+	return f.Outcome == responder.NotRun && isPeerRefusal(f.Reason)
 }
 
 // waitBeforeRetry waits for a short time after a connection broke. Connections to other
@@ -99,9 +98,8 @@
 func isRetryableReason(reason responder.Reason) bool {
 	switch reason {
 	case responder.ReasonNoReplica, responder.ReasonUnreachable, responder.ReasonReplicasPaused, responder.ReasonReplicasFull, responder.ReasonDeadline, responder.ReasonCallerGone,
-		responder.ReasonUnknownPeer, responder.ReasonBadDelivery,
 		responder.ReasonPartBlocked, responder.ReasonRequestBlocked:
 		return false
 	}
-	return true
+	return !isPeerRefusal(reason)
 }
