The log names the version, the age, host, path and a fingerprint of the key for each denial

The line of a refusal named the age of the copy when it was written, and neither the version that had decided, nor host, path or key.

The same for a 503 that is sent in place of a denial. The line adds the newest version that the node has heard of. Admitted requests name the version that admitted them, in 'request completed' and 'request failed'.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -100,6 +100,22 @@
 	RetryAfter time.Duration
 	// Started is true if a part of the response was sent to the caller.
 	Started bool
+	// Verdict is set if the configuration has decided.
+	Verdict *Verdict
+}
+
+// Verdict is what a refusal rests on that the configuration has decided.
+type Verdict struct {
+	// Version is the version of the configuration, and Age the time since it was last
+	// confirmed to be current.
+	Version int64
+	Age     time.Duration
+	// Host and Path are those of the request, cut to a bounded length.
+	Host string
+	Path string
+	// Credential tells credentials apart without revealing them. It is empty if the
+	// request has none.
+	Credential string
 }
 
 // Error returns the reason, the outcome and the message.
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -158,7 +158,7 @@
 	}
 	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
 		"attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "from_node", from, "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.FirstByte.Milliseconds(),
-		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds())
+		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
@@ -166,13 +166,20 @@
 // closed its sending half only, and gets the failure too.
 func (n *Node) fail(w *callerResponse, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
+	age := n.catalogs.Age()
+	if f.Verdict != nil {
+		age = f.Verdict.Age
+	}
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
-		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
+		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", age.Milliseconds(),
+	}
+	if v := f.Verdict; v != nil {
+		args = append(args, "catalog_version", v.Version, "newest_version", n.newestVersion(), "host", v.Host, "path", v.Path, "credential", v.Credential)
 	}
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
-			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
+			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
 		}
--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -98,6 +98,11 @@
 	return 0
 }
 
+// newestVersion returns the newest version of the configuration that this node has heard of.
+func (n *Node) newestVersion() int64 {
+	return max(n.catalogVersion(), n.versions.storedVersion.Load(), n.versions.newestVersion.Load())
+}
+
 // mayConfirmCatalog reports whether the configuration in use may be the newest one as far
 // as the other nodes know. A node that has just started does not know before it has heard
 // of another one.
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"time"
 
+	"marjorammoor/internal/gateway/authenticator"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
@@ -38,6 +39,11 @@
 	staleRetryAfter = 500 * time.Millisecond
 	// defaultTimeout applies to requests without a timeout on routes without one.
 	defaultTimeout = 30 * time.Second
+	// maxVerdictBytes is how much of the host and of the path a verdict holds.
+	maxVerdictBytes = 80
+	// fingerprintDigits is the number of hexadecimal digits by which a verdict tells
+	// credentials apart.
+	fingerprintDigits = 8
 )
 
 // Incoming is a request as received from a caller.
@@ -91,7 +97,7 @@
 	age := a.Age()
 	route, ok := c.Match(in.Host, in.Path)
 	if !ok {
-		return nil, deny(in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
+		return nil, deny(c, in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
 	}
 	if in.ID == "" {
 		return nil, refuse(in, http.StatusBadRequest, responder.ReasonBadHeader, "the request has no ID")
@@ -100,7 +106,7 @@
 		ID: in.ID, Route: route, Service: route.PickService(), Model: in.Model, Method: in.Method,
 		Target: in.Target, Host: in.Host, Header: in.Header, Body: in.Body,
 		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, SharedParts: in.SharedParts, Prompt: in.Prompt,
-		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived,
+		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived, CatalogVersion: c.Version,
 	}
 	if failure := a.authenticate(c, in, call, age); failure != nil {
 		return nil, failure
@@ -133,7 +139,7 @@
 	}
 	team, ok := c.Team(in.Credential)
 	if !ok {
-		return deny(in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
+		return deny(c, in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
 	}
 	call.Team = team.Name
 	if team.HasPriority {
@@ -167,11 +173,28 @@
 
 // deny rejects a request, or reports that the node cannot decide if its
 // configuration is older than maxDenyAge.
-func deny(in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
+func deny(c *matcher.Catalog, in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
+	f := refuse(in, status, reason, message)
 	if age > maxDenyAge {
-		return unavailable(in, responder.ReasonConfigurationStale, message+", but the configuration may be old")
+		f = unavailable(in, responder.ReasonConfigurationStale, message+", but the configuration may be old")
 	}
-	return refuse(in, status, reason, message)
+	f.Verdict = verdict(c, in, age)
+	return f
+}
+
+func verdict(c *matcher.Catalog, in *Incoming, age time.Duration) *responder.Verdict {
+	return &responder.Verdict{
+		Version: c.Version, Age: age, Credential: fingerprint(in.Credential),
+		Host: in.Host[:min(len(in.Host), maxVerdictBytes)], Path: in.Path[:min(len(in.Path), maxVerdictBytes)],
+	}
+}
+
+// fingerprint returns the beginning of the hash of a credential.
+func fingerprint(credential string) string {
+	if credential == "" {
+		return ""
+	}
+	return authenticator.Hash(credential)[:fingerprintDigits]
 }
 
 // refuse returns the failure for a request that is not run.
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,8 +81,12 @@
 		if failure.Status == 503 && failure.RetryAfter <= 0 {
 			t.Error("a response with status 503 has no RetryAfter")
 		}
+		x.checkVerdict(t, failure)
 		return
 	}
+	if call.CatalogVersion != c.Version {
+		t.Errorf("admitted by version %d, want %d", call.CatalogVersion, c.Version)
+	}
 	if x.Status != 0 || call.Service != x.Service || call.Team != x.Team || call.Priority != x.Priority {
 		t.Errorf("admitted to service %q for team %q with priority %d", call.Service, call.Team, call.Priority)
 	}
@@ -92,3 +97,21 @@
 		t.Errorf("caller's deadline %v after arrival, wanted 4 s", timeout)
 	}
 }
+
+// checkVerdict checks that a denial names what it rests on, in bounded length and without
+// the credential.
+func (x *admissionCase) checkVerdict(t *testing.T, f *responder.Failure) {
+	v := f.Verdict
+	if f.Status != 401 && f.Status != 404 {
+		return
+	}
+	if v == nil {
+		t.Fatal("a denial has no verdict")
+	}
+	if v.Version != 3 || v.Age != time.Duration(x.AgeMS)*time.Millisecond || v.Host != x.Host || len(v.Path) > maxVerdictBytes || !strings.HasPrefix(x.Path, v.Path) {
+		t.Errorf("verdict %+v", v)
+	}
+	if (v.Credential == "") != (x.Key == "") || x.Key != "" && (len(v.Credential) != fingerprintDigits || strings.Contains(v.Credential, x.Key)) {
+		t.Errorf("credential %q is named %q", x.Key, v.Credential)
+	}
+}
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -43,6 +43,8 @@
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
 	// empty.
 	LastEvent string
+	// CatalogVersion is the version of the configuration that admitted the call.
+	CatalogVersion int64
 	// Arrived is when the node received the request.
 	Arrived time.Time
 	// Deadline is when the node stops working on the call. It is never after
