A node denies nothing while the store's configuration is not the one in use

Of a configuration that is refused as a whole the follower has recorded the position, and each later read, and each peer whose copy has that position, confirms the copy as current.

One record says whether the store's newest object is the configuration in use (catalogVersions.unused): its position if it cannot be decoded, has a problem, was deleted, is missing in a list, or names an older version though it was written later. What is admitted, and how old a copy may be for credentials, stays as it was.

- A peer that refuses a version and passes its copy on: each node decodes each change itself, and a copy that lacks it isn't confirmed.
So its own record is enough.
- A build that refuses what newer ones accept: it denies nothing, they do.
- A sound version after it, or the one in use written again: denies again.
Started meanwhile: no configuration, 503, as before.
- A restored store with an older version: the one in use is the newest, denies as before.
If it has lost the refused object, whose version nobody knows, nothing is denied until a newer version is applied; the operators write again what was lost.
- Ruled out: not to confirm the copy.

Left: a change of the watch whose name cannot be read is still left out without a trace in this record; a list without the object's name is not.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -73,6 +73,7 @@
 	ReasonStalled               Reason = "stalled"
 	ReasonRunnerError           Reason = "runner_error"
 	ReasonConfigurationStale    Reason = "configuration_stale"
+	ReasonConfigurationOutdated Reason = "configuration_outdated"
 	ReasonNoConfiguration       Reason = "no_configuration"
 	ReasonUnknownRoute          Reason = "unknown_route"
 	ReasonUnknownModel          Reason = "unknown_model"
--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/store/follower"
+	"marjorammoor/internal/store/sequencer"
 )
 
 // sendCatalogInterval is the shortest time between two times at which the configuration is
@@ -25,28 +27,74 @@
 	storedVersion atomic.Int64
 	// newestVersion is the newest version that another node has used.
 	newestVersion atomic.Int64
+	// unused is the position of the store's newest object while that is not the
+	// configuration in use: it cannot be used, was deleted, or names an older version.
+	unused atomic.Pointer[sequencer.Position]
 
 	mu sync.Mutex
 	// sentAt is when the configuration was last sent to a node, by node name.
 	sentAt map[string]time.Time
 }
 
+// replaceCatalogs applies a full list. A list without the configuration says no more than
+// that the one in use is not the store's.
+func (n *Node) replaceCatalogs(objects []follower.Object, _ follower.Listing) {
+	n.applyCatalogs(objects)
+	if !slices.ContainsFunc(objects, n.isCatalog) {
+		n.recordUnused(sequencer.Position{Era: n.Platform.Eras.Newest()})
+	}
+}
+
 // applyCatalogs applies a configuration that the store has.
 func (n *Node) applyCatalogs(objects []follower.Object) {
 	for _, o := range objects {
-		if o.Name != n.Platform.CatalogName || o.Deleted {
-			continue
-		}
-		if c := n.decodeCatalog(o); c != nil {
-			n.versions.storedVersion.Store(c.Version)
-			n.useCatalog(c, o)
+		if n.isCatalog(o) {
+			n.applyCatalog(o)
 		}
 	}
 }
 
+func (n *Node) isCatalog(o follower.Object) bool { return o.Name == n.Platform.CatalogName }
+
+// applyCatalog applies the store's newest configuration, or records that it is not used. An
+// older version of another era than the one in use is what a restored store has left.
+func (n *Node) applyCatalog(o follower.Object) {
+	c := n.decodeCatalog(o)
+	if c == nil {
+		n.recordUnused(o.At)
+		return
+	}
+	n.versions.storedVersion.Store(c.Version)
+	isApplied := n.useCatalog(c, o)
+	isOlder := c.Version < n.catalogVersion()
+	if isOlder && o.At.Covers(n.versions.object.Load().At) {
+		n.recordUnused(o.At)
+		return
+	}
+	n.recordUsable(o.At, isApplied)
+}
+
+// recordUnused records that the store's newest object is not the configuration in use.
+func (n *Node) recordUnused(at sequencer.Position) {
+	if n.versions.unused.Swap(&at) == nil {
+		n.Log.Warn("configuration of the store is not the one in use; no request is denied", "version", n.catalogVersion(), "era", at.Era, "revision", at.Revision)
+	}
+}
+
+// recordUsable records that the store has a configuration that is in use or older. In
+// another era than an unused one, only a newer version ends that.
+func (n *Node) recordUsable(at sequencer.Position, isApplied bool) {
+	unused := n.versions.unused.Load()
+	if unused == nil || !isApplied && !at.Covers(*unused) {
+		return
+	}
+	n.versions.unused.Store(nil)
+	n.Log.Info("configuration in use may be the newest one again", "version", n.catalogVersion(), "era", at.Era, "revision", at.Revision)
+}
+
 // receiveObject applies a configuration that another node has kept.
 func (n *Node) receiveObject(o follower.Object) {
-	if o.Kind != n.Platform.CatalogKind || o.Name != n.Platform.CatalogName {
+	if o.Kind != n.Platform.CatalogKind || !n.isCatalog(o) {
 		return
 	}
 	if c := n.decodeCatalog(o); c != nil {
@@ -54,9 +102,14 @@
 	}
 }
 
-// decodeCatalog returns nil for a configuration that cannot be used. It is refused as a
-// whole, and the current one stays: a part of one may grant what the whole would not.
+// decodeCatalog returns nil for a configuration that was deleted or cannot be used. It is
+// refused as a whole, and the current one stays: a part of one may grant what the whole
+// would not.
 func (n *Node) decodeCatalog(o follower.Object) *matcher.Catalog {
+	if o.Deleted {
+		n.rejections.Forget(o)
+		return nil
+	}
 	c, err := (*matcher.Catalog)(nil), o.Problem
 	if err == nil {
 		c, err = n.Platform.DecodeCatalog(o.Spec)
@@ -71,10 +124,10 @@
 	return c
 }
 
-// useCatalog applies a configuration that is newer than the current one. An older or
-// equal version is ignored: the store may have been restored from a copy that lacks the
-// newest one, which stays in force.
-func (n *Node) useCatalog(c *matcher.Catalog, o follower.Object) {
+// useCatalog applies a configuration that is newer than the current one, and reports
+// whether it is. An older or equal version is ignored: the store may have been restored from
+// a copy that lacks the newest one, which stays in force.
+func (n *Node) useCatalog(c *matcher.Catalog, o follower.Object) (isApplied bool) {
 	n.catalogMu.Lock()
 	defer n.catalogMu.Unlock()
 	old := n.catalog.Load()
@@ -82,12 +135,13 @@
 		if old.Version > c.Version {
 			n.Log.Info("older configuration is not used", "version", c.Version, "used", old.Version, "era", o.At.Era, "revision", o.At.Revision)
 		}
-		return
+		return false
 	}
 	n.catalog.Store(c)
 	n.versions.object.Store(&o)
 	n.tracker.SetServices(c.Services)
 	n.Log.Info("configuration applied", "version", c.Version, "era", o.At.Era, "revision", o.At.Revision, "limits", c.Limits)
+	return true
 }
 
 // catalogVersion returns the version of the configuration in use, or 0 if there is none.
@@ -113,6 +167,12 @@
 	return n.catalogVersion() >= n.versions.newestVersion.Load()
 }
 
+// mayDeny reports whether a version of the configuration may be the newest one as far as this
+// node knows, so that what it does not allow may be denied.
+func (n *Node) mayDeny(version int64) bool {
+	return version >= n.catalogVersion() && n.versions.unused.Load() == nil
+}
+
 // recordCatalogVersion records the version that another node uses. If that node and the
 // store lack the one in use here, a single node sends it.
 func (n *Node) recordCatalogVersion(b *beater.Heartbeat) {
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -216,8 +216,7 @@
 	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
-		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
-		Update:  n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
+		Replace: n.replaceCatalogs, Update: n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
 	}
 	n.runners = &follower.Follower{
 		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
@@ -230,7 +229,7 @@
 		f.Eras = p.Eras
 		f.OnRestoredList = func(objects []follower.Object, at sequencer.Position) { n.publishList(f.Kind, objects, at) }
 	}
-	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
+	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, MayDeny: n.mayDeny, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
 	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillHeartbeat, OnHeartbeat: n.receiveHeartbeat, OnChanges: n.applyPeerChanges, OnListPart: n.applyPeerList, OnObject: n.receiveObject, OnGrant: n.receiveGrant, Log: n.Log}
 	n.announcer = &announcer.Announcer{
 		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -4,8 +4,8 @@
 //
 // If the node cannot decide, it responds with status 503 and the outcome not run. It
 // rejects a route or credential as unknown only if its configuration was confirmed
-// recently, and it accepts no credential once the configuration is so old that the
-// credential may have been revoked.
+// recently and no newer one is known, and it accepts no credential once the configuration
+// is so old that the credential may have been revoked.
 //
 // # Usage
 //
@@ -76,12 +76,15 @@
 	Arrived time.Time
 }
 
-// Admitter admits requests. Set all fields before use.
+// Admitter admits requests. Set Catalog, Age and RevocationTimeout before use.
 type Admitter struct {
 	// Catalog returns the configuration in force, or nil if there is none.
 	Catalog func() *matcher.Catalog
 	// Age returns the time since the configuration was last confirmed to be current.
 	Age func() time.Duration
+	// MayDeny, if set, reports whether a version of the configuration may be the newest one.
+	// If it is not, a newer one may allow what it does not.
+	MayDeny func(version int64) bool
 	// RevocationTimeout returns the time after which a revoked credential must no
 	// longer be accepted.
 	RevocationTimeout func() time.Duration
@@ -97,7 +100,7 @@
 	age := a.Age()
 	route, ok := c.Match(in.Host, in.Path)
 	if !ok {
-		return nil, deny(c, in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
+		return nil, a.deny(c, in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
 	}
 	if in.ID == "" {
 		return nil, refuse(in, http.StatusBadRequest, responder.ReasonBadHeader, "the request has no ID")
@@ -139,7 +142,7 @@
 	}
 	team, ok := c.Team(in.Credential)
 	if !ok {
-		return deny(c, in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
+		return a.deny(c, in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
 	}
 	call.Team = team.Name
 	if team.HasPriority {
@@ -171,12 +174,14 @@
 	}
 }
 
-// deny rejects a request, or reports that the node cannot decide if its
-// configuration is older than maxDenyAge.
-func deny(c *matcher.Catalog, in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
+// deny rejects a request, or reports that the node cannot decide if its configuration is
+// older than maxDenyAge or is not the newest one.
+func (a *Admitter) deny(c *matcher.Catalog, in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
 	f := refuse(in, status, reason, message)
 	if age > maxDenyAge {
 		f = unavailable(in, responder.ReasonConfigurationStale, message+", but the configuration may be old")
+	} else if a.MayDeny != nil && !a.MayDeny(c.Version) {
+		f = unavailable(in, responder.ReasonConfigurationOutdated, message+", but there may be a newer configuration")
 	}
 	f.Verdict = verdict(c, in, age)
 	return f
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -21,9 +21,11 @@
 	AgeMS     int64  `json:"age_ms"`
 	NoCatalog bool   `json:"no_catalog"`
 	NoID      bool   `json:"no_id"`
-	Service   string `json:"service"`
-	Team      string `json:"team"`
-	Priority  int    `json:"priority"`
+	// NewestVersion is the newest known version, or 0 if the admitter does not ask.
+	NewestVersion int64  `json:"newest_version"`
+	Service       string `json:"service"`
+	Team          string `json:"team"`
+	Priority      int    `json:"priority"`
 	// Status and Reason describe the expected failure. A Status of 0 means that the
 	// request is admitted.
 	Status int              `json:"status"`
@@ -69,6 +71,9 @@
 		Catalog: func() *matcher.Catalog { return c }, RevocationTimeout: func() time.Duration { return 5 * time.Second },
 		Age: func() time.Duration { return time.Duration(x.AgeMS) * time.Millisecond },
 	}
+	if x.NewestVersion > 0 {
+		a.MayDeny = func(version int64) bool { return version >= x.NewestVersion }
+	}
 	in := &Incoming{ID: "q", Host: x.Host, Path: x.Path, Credential: x.Key, Model: x.Model, Timeout: 4 * time.Second, Arrived: time.Now()}
 	if x.NoID {
 		in.ID = ""
