A node denies nothing once it has heard of a newer version than its own

The node knows that version from heartbeats and stops confirming its copy, but the refusal looked at the copy's age only.

The admitter's question whether the version that decided may be the newest one now counts the versions of other nodes too. It asks for that version, not for the one in use a moment later. If a newer one is known: 503, configuration_outdated, not run, Retry-After 0.5 s; the change is at the other nodes within that time, or another node decides. What is admitted stays as it was.

A single wrong heartbeat with a huge version: today it stops all confirmations, so that denials end after 1.5 s and credentials after 0.7 of revocation_ms, until the node is started anew. Now denials end at once; the rest is as it was, and is not mended here.

Without the fix: TestNodeBehindAnotherDeniesNothing (two nodes, the heartbeat as one writes it): step 0, heartbeat: path /unknown/ with key "key" got 404 (unknown_route), wanted 503; path /known/ with key "unknown" got 401 (unknown_credential), wanted 503.

--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -170,7 +170,7 @@
 // mayDeny reports whether a version of the configuration may be the newest one as far as this
 // node knows, so that what it does not allow may be denied.
 func (n *Node) mayDeny(version int64) bool {
-	return version >= n.catalogVersion() && n.versions.unused.Load() == nil
+	return version >= n.newestVersion() && n.versions.unused.Load() == nil
 }
 
 // recordCatalogVersion records the version that another node uses. If that node and the
--- a/internal/node/server/verdicts_test.go
+++ b/internal/node/server/verdicts_test.go
@@ -54,6 +54,8 @@
 	Spec    string `json:"spec"`
 	Problem bool   `json:"problem"`
 	Deleted bool   `json:"deleted"`
+	// Version is the one that another node uses, or 0 if it does not say.
+	Version int64 `json:"version"`
 	// Used is the version that must be in use, or 0 for none, and Denies whether the node
 	// must deny what that does not allow.
 	Used   int64 `json:"used"`
@@ -156,7 +158,7 @@
 	case "object":
 		n.receiveObject(o)
 	}
-	n.confirm(0)
+	n.confirm(step.Version)
 }
 
 // confirm has another node confirm the copy, which uses a version.
@@ -193,3 +195,19 @@
 		}
 	}
 }
+
+// TestNodeBehindAnotherDeniesNothing guards against final answers by a configuration that was
+// just confirmed, while another node is known to use a newer one.
+func TestNodeBehindAnotherDeniesNothing(t *testing.T) {
+	behind, ahead := newDenyingNode(t, "11"), newDenyingNode(t, "11")
+	ahead.Settings.Name = "n2"
+	change := &denialStep{Do: "change", Revision: 5, Spec: "12", Used: 12, Denies: true}
+	ahead.do(change)
+	b := &beater.Heartbeat{Node: "n2", DataCenter: "dc"}
+	ahead.fillHeartbeat(b, "dc", false)
+	behind.receiveHeartbeat(b)
+	ahead.check(t, 0, change)
+	behind.check(t, 0, &denialStep{Do: "heartbeat", Used: 11})
+	behind.do(change)
+	behind.check(t, 1, change)
+}
