A body is too large only by a configuration that may be the newest one

The same class as the denials before: the limit was taken from the configuration in use, or the default, without asking whether that may deny.

Admitter.Deny decides for it as for routes and keys, by the configuration from which the limit was taken: else 503, configuration_stale, configuration_outdated or no_configuration. The connection is closed after it as before, since the body isn't read to its end.

Without the fix TestLargeBodyIsDeniedOnlyByTheNewestConfiguration fails for none, old and newer_one_exists: status 413, want 503. The mutant was seen to fail.

--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -29,9 +29,12 @@
 )
 
 // callerLimits returns the limits for callers that are in force now.
-func (n *Node) callerLimits() matcher.Limits {
+func (n *Node) callerLimits() matcher.Limits { return limitsOf(n.catalog.Load()) }
+
+// limitsOf returns the limits for callers by a configuration, or by none if it is nil.
+func limitsOf(c *matcher.Catalog) matcher.Limits {
 	l := matcher.Limits{}
-	if c := n.catalog.Load(); c != nil {
+	if c != nil {
 		l = c.Limits
 	}
 	return matcher.Limits{
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -15,6 +15,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
@@ -69,13 +70,13 @@
 	n.closeIfStopping(w.Header())
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
-	limits := n.callerLimits()
-	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+	catalog := n.catalog.Load()
+	if failure := checkHeader(r, in.ID, limitsOf(catalog)); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
-	body, failure := n.readBody(rw, r, in.ID, limits)
+	body, failure := n.readBody(rw, r, in, catalog)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -95,8 +96,8 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the limit.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string, l matcher.Limits) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit of a configuration.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -107,15 +108,15 @@
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limitsOf(c).BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, &responder.Failure{Status: http.StatusRequestEntityTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonBodyTooLarge, Message: err.Error(), RequestID: id}
+		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
 	}
-	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: id}
+	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
--- a/internal/node/server/verdicts_test.go
+++ b/internal/node/server/verdicts_test.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -211,3 +213,31 @@
 	behind.do(change)
 	behind.check(t, 1, change)
 }
+
+// TestLargeBodyIsDeniedOnlyByTheNewestConfiguration guards against 413 by the limit of an old
+// configuration, or by the default of a node that has none.
+func TestLargeBodyIsDeniedOnlyByTheNewestConfiguration(t *testing.T) {
+	for name, x := range map[string]struct {
+		catalog *matcher.Catalog
+		newest  int64
+		age     time.Duration
+		status  int
+	}{
+		"newest":           {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 11, status: http.StatusRequestEntityTooLarge},
+		"old":              {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 11, age: 2 * time.Second, status: http.StatusServiceUnavailable},
+		"newer one exists": {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 12, status: http.StatusServiceUnavailable},
+		"none":             {status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startCallerServer(t).node
+			n.catalog.Store(x.catalog)
+			n.versions.newestVersion.Store(x.newest)
+			n.admitter.Age = func() time.Duration { return x.age }
+			w := httptest.NewRecorder()
+			n.serveCaller(w, httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(make([]byte, defaultBodyBytes+1))))
+			if w.Code != x.status {
+				t.Errorf("status %d, want %d", w.Code, x.status)
+			}
+		})
+	}
+}
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -95,7 +95,7 @@
 func (a *Admitter) Admit(in *Incoming) (*relayer.Call, *responder.Failure) {
 	c := a.Catalog()
 	if c == nil {
-		return nil, unavailable(in, responder.ReasonNoConfiguration, "the node has no configuration yet")
+		return nil, unconfigured(in)
 	}
 	age := a.Age()
 	route, ok := c.Match(in.Host, in.Path)
@@ -174,6 +174,15 @@
 	}
 }
 
+// Deny returns the failure for a request that a configuration, or nil for none, does not
+// allow. If it may not be the newest one, the failure says that the node cannot decide.
+func (a *Admitter) Deny(c *matcher.Catalog, in *Incoming, status int, reason responder.Reason, message string) *responder.Failure {
+	if c == nil {
+		return unconfigured(in)
+	}
+	return a.deny(c, in, a.Age(), status, reason, message)
+}
+
 // deny rejects a request, or reports that the node cannot decide if its configuration is
 // older than maxDenyAge or is not the newest one.
 func (a *Admitter) deny(c *matcher.Catalog, in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
@@ -207,6 +216,10 @@
 	return &responder.Failure{Status: status, Outcome: responder.NotRun, Reason: reason, Message: message, RequestID: in.ID}
 }
 
+func unconfigured(in *Incoming) *responder.Failure {
+	return unavailable(in, responder.ReasonNoConfiguration, "the node has no configuration yet")
+}
+
 // unavailable returns the failure for a request that another node, or this one
 // later, may be able to admit.
 func unavailable(in *Incoming, reason responder.Reason, message string) *responder.Failure {
