A host name that ends with a dot is the same host

Names were compared in lower case and without the port, and with the dot. Ruled out: the dot isn't cut off what the runner gets, Host is passed on as sent. A host with a port that a route names keeps to the routes of that name.

--- a/internal/serving/matcher/matcher.go
+++ b/internal/serving/matcher/matcher.go
@@ -161,8 +161,7 @@
 	// HasTeams is set if requests need a credential, unless their route is public.
 	HasTeams bool
 
-	// hosts holds the routes by lower-case host name, those with the longest prefix
-	// first.
+	// hosts holds the routes by hostKey, those with the longest prefix first.
 	hosts map[string][]*Route
 	// teams holds the teams by credential.
 	teams map[string]*Team
@@ -172,8 +171,8 @@
 func (c *Catalog) AddRoutes(routes []*Route) {
 	c.hosts = map[string][]*Route{}
 	for _, r := range routes {
-		host := strings.ToLower(r.Host)
-		c.hosts[host] = append(c.hosts[host], r)
+		key := hostKey(r.Host)
+		c.hosts[key] = append(c.hosts[key], r)
 	}
 	for _, list := range c.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
@@ -188,14 +187,17 @@
 	c.teams[credential] = t
 }
 
+// hostKey returns a host name in the form in which names are compared: in lower case, and
+// without the dot that ends a fully qualified one.
+func hostKey(host string) string { return strings.TrimSuffix(strings.ToLower(host), ".") }
+
 // Match returns the route of a host with the longest matching path prefix. The port
 // of the host is ignored unless a route names it.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
-	host = strings.ToLower(host)
-	list, ok := c.hosts[host]
+	list, ok := c.hosts[hostKey(host)]
 	if !ok {
 		if i := strings.LastIndexByte(host, ':'); i > 0 {
-			list = c.hosts[host[:i]]
+			list = c.hosts[hostKey(host[:i])]
 		}
 	}
 	for _, r := range list {
