A route is looked up by the path as it was sent

The cause is URL.EscapedPath, which, for a path with a byte that a URI cannot hold, encodes the decoded path anew, and so loses which slashes were encoded.

The adapter now passes the path on as it came, and the matcher compares prefix and path in one form: bytes that a URI cannot hold are encoded, nothing is decoded. Ruled out: to decode letters (/%78/ for /x/).

--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -51,7 +51,7 @@
 	ID     string
 	Method string
 	Host   string
-	// Path excludes the query, Target includes it.
+	// Path is as the caller sent it, without the query; Target includes that.
 	Path       string
 	Target     string
 	Header     http.Header
--- a/internal/serving/matcher/matcher.go
+++ b/internal/serving/matcher/matcher.go
@@ -11,10 +11,12 @@
 package matcher
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // RouteType determines whether a request of a route may run more than once and how
@@ -162,20 +164,26 @@
 	HasTeams bool
 
 	// hosts holds the routes by hostKey, those with the longest prefix first.
-	hosts map[string][]*Route
+	hosts map[string][]pathRoute
 	// teams holds the teams by credential.
 	teams map[string]*Team
 }
 
+// pathRoute is a route with the pathKey of its prefix.
+type pathRoute struct {
+	prefix string
+	route  *Route
+}
+
 // AddRoutes replaces the routes.
 func (c *Catalog) AddRoutes(routes []*Route) {
-	c.hosts = map[string][]*Route{}
+	c.hosts = map[string][]pathRoute{}
 	for _, r := range routes {
 		key := hostKey(r.Host)
-		c.hosts[key] = append(c.hosts[key], r)
+		c.hosts[key] = append(c.hosts[key], pathRoute{prefix: pathKey(r.PathPrefix), route: r})
 	}
 	for _, list := range c.hosts {
-		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].prefix) > len(list[j].prefix) })
 	}
 }
 
@@ -191,8 +199,35 @@
 // without the dot that ends a fully qualified one.
 func hostKey(host string) string { return strings.TrimSuffix(strings.ToLower(host), ".") }
 
-// Match returns the route of a host with the longest matching path prefix. The port
-// of the host is ignored unless a route names it.
+// pathBytes are the bytes that a path may hold as they are, besides letters and digits.
+const pathBytes = "/%-._~!$&'()*+,;=:@"
+
+// pathKey returns a path in the form in which paths are compared: the bytes that a URI cannot
+// hold are percent-encoded, as most callers send them. Nothing is decoded, so that an encoded
+// slash separates nothing.
+func pathKey(path string) string {
+	if strings.IndexFunc(path, isEncoded) < 0 {
+		return path
+	}
+	key := strings.Builder{}
+	for i := range len(path) {
+		if isEncoded(rune(path[i])) {
+			fmt.Fprintf(&key, "%%%02X", path[i])
+		} else {
+			key.WriteByte(path[i])
+		}
+	}
+	return key.String()
+}
+
+// isEncoded reports whether a path holds a byte only percent-encoded.
+func isEncoded(c rune) bool {
+	isPlain := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c < utf8.RuneSelf && strings.ContainsRune(pathBytes, c)
+	return !isPlain
+}
+
+// Match returns the route of a host with the longest prefix of a path as the caller sent it.
+// The port of the host is ignored unless a route names it.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	list, ok := c.hosts[hostKey(host)]
 	if !ok {
@@ -200,9 +235,10 @@
 			list = c.hosts[hostKey(host[:i])]
 		}
 	}
+	key := pathKey(path)
 	for _, r := range list {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r, true
+		if strings.HasPrefix(key, r.prefix) {
+			return r.route, true
 		}
 	}
 	return nil, false
--- a/internal/serving/matcher/matcher_test.go
+++ b/internal/serving/matcher/matcher_test.go
@@ -30,6 +30,8 @@
 		{Name: "port", Host: "a.example:81", PathPrefix: "/x/"},
 		{Name: "b", Host: "b.example.", PathPrefix: "/x/"},
 		{Name: "address", Host: "[::1]", PathPrefix: "/x/"},
+		{Name: "umlaut", Host: "a.example", PathPrefix: "/ü/"},
+		{Name: "encoded", Host: "a.example", PathPrefix: "/%C3%A4/"},
 	})
 	for _, x := range cases {
 		t.Run(x.Name, func(t *testing.T) {
