--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -15,6 +15,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
@@ -69,13 +70,13 @@
 	n.closeIfStopping(w.Header())
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
-	limits := n.callerLimits()
-	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+	catalog := n.catalog.Load()
+	if failure := checkHeader(r, in.ID, limitsOf(catalog)); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
-	body, failure := n.readBody(rw, r, in.ID, limits)
+	body, failure := n.readBody(rw, r, in, catalog)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -95,8 +96,8 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the limit.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string, l matcher.Limits) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit of a configuration.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -107,15 +108,15 @@
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limitsOf(c).BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, &responder.Failure{Status: http.StatusRequestEntityTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonBodyTooLarge, Message: err.Error(), RequestID: id}
+		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
 	}
-	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: id}
+	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
@@ -158,7 +159,7 @@
 	}
 	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
 		"attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "from_node", from, "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.FirstByte.Milliseconds(),
-		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds())
+		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
@@ -166,13 +167,20 @@
 // closed its sending half only, and gets the failure too.
 func (n *Node) fail(w *callerResponse, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
+	age := n.catalogs.Age()
+	if f.Verdict != nil {
+		age = f.Verdict.Age
+	}
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
-		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
+		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", age.Milliseconds(),
+	}
+	if v := f.Verdict; v != nil {
+		args = append(args, "catalog_version", v.Version, "newest_version", n.newestVersion(), "host", v.Host, "path", v.Path, "credential", v.Credential)
 	}
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
-			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
+			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
 		}
