Count and log what http.Server answers by itself

What callers saw: a 400, 417, 431, 501 or 505 without an id, for which no node had a line with the status, and on the port for other nodes neither a line nor a count. There such an answer is passed on to the caller as a runner's.

Cause: http.Server writes these answers to the connection itself, before any handler, and ErrorLog does not see them. On the callers' port `not_served` counted the connection when it closed, without the status, and not at all if the request had come in the same read as the one before (the server does not report StateActive then).

The connection of both ports now knows whether a handler has seen the request; a first write without one is such an answer. `not_served` counts what it did, and the missed case.

Ruled out: Server.ErrorLog (does not get them), ConnState (has no status, misses requests read together), a listener that parses requests itself (two parsers that may differ).

The test fails with the hook of the connection taken out: --- FAIL: TestAnswersWithoutAHandlerAreCountedAndLogged/callers/no_host watched_conn_test.go:67: counted 0 times watched_conn_test.go:70: not logged once: and, with the reset at StateIdle taken out, for "a later request on the same connection".

--- a/internal/node/server/caller_conn.go
+++ b/internal/node/server/caller_conn.go
@@ -46,7 +46,7 @@
 // limits in force. An http.Server has a single fixed idle timeout instead, and applies its
 // header timeout to the wait for the first request as well.
 type callerConn struct {
-	*net.TCPConn
+	watchedConn
 	limits func() matcher.Limits
 
 	mu    sync.Mutex
@@ -57,8 +57,6 @@
 	headerDeadline time.Time
 	// allowed is how long the caller may leave the connection idle, as it was last told.
 	allowed time.Duration
-	// isHandled is set once the request has reached the handler.
-	isHandled bool
 }
 
 // Read implements net.Conn.
@@ -75,7 +73,7 @@
 		}
 		if phase == phaseHeader {
 			headerClosed.Inc()
-			_, _ = c.Write([]byte(headerTimeoutResponse))
+			_, _ = c.TCPConn.Write([]byte(headerTimeoutResponse))
 			return n, err
 		}
 		if c.idleDeadline().After(deadline) {
@@ -151,27 +149,27 @@
 
 // wait records that the connection is idle.
 func (c *callerConn) wait() {
+	c.watchedConn.wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseIdle
-	c.isHandled = false
 	c.since = time.Now()
 }
 
-// isUnserved reports whether a header was read that has not reached the handler.
+// isUnserved reports whether a header was read that has neither reached the handler nor been
+// answered.
 func (c *callerConn) isUnserved() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseServing && !c.isHandled
+	return c.phase == phaseServing && !c.isHandled.Load() && !c.isRefused.Load()
 }
 
-// handle records that the request has reached the handler, and how long the caller may leave
-// the connection idle after the response.
+// handle records that a request is handled, and how long the caller may leave the connection
+// idle after the response.
 func (c *callerConn) handle(idle time.Duration) {
 	c.serve()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isHandled = true
 	c.allowed = idle
 }
 
@@ -179,6 +177,7 @@
 type callerListener struct {
 	net.Listener
 	limits func() matcher.Limits
+	record func(port string, c net.Conn, statusLine string)
 }
 
 // Accept implements net.Listener.
@@ -189,7 +188,10 @@
 		return c, err
 	}
 	limits := l.limits()
-	return &callerConn{TCPConn: tcp, limits: l.limits, since: time.Now(), allowed: limits.IdleTimeout}, nil
+	return &callerConn{
+		watchedConn: watchedConn{TCPConn: tcp, port: callerPort, record: l.record},
+		limits:      l.limits, since: time.Now(), allowed: limits.IdleTimeout,
+	}, nil
 }
 
 // trackCaller tells a connection in which state the server has it.
@@ -213,17 +215,8 @@
 	}
 }
 
-type callerConnKey struct{}
-
-func withCallerConn(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*callerConn); ok {
-		return context.WithValue(ctx, callerConnKey{}, c)
-	}
-	return ctx
-}
-
 // callerConnOf returns the connection of a request, or nil if it is not one of a caller.
 func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	c, _ := ctx.Value(connKey{}).(*callerConn)
 	return c
 }
--- a/internal/node/server/caller_response.go
+++ b/internal/node/server/caller_response.go
@@ -19,7 +19,7 @@
 	// unansweredWrite is a response that the connection did not take.
 	unansweredWrite = "write_failed"
 	// unansweredUnserved is a header that was read while the node stopped, or that
-	// http.Server has refused by itself.
+	// http.Server has answered by itself.
 	unansweredUnserved = "not_served"
 )
 
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -34,10 +34,10 @@
 // callerServer serves callers. The connections keep their time limits themselves.
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:        http.HandlerFunc(n.serveCaller),
+		Handler:        watched(n.serveCaller),
 		BaseContext:    n.baseContext,
 		ConnState:      n.trackCaller,
-		ConnContext:    withCallerConn,
+		ConnContext:    withConn,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -17,8 +17,8 @@
 // for heartbeats.
 func (n *Node) deliveryServer() *http.Server {
 	return &http.Server{
-		Handler: http.HandlerFunc(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: n.baseContext, ConnState: n.connections.record,
+		Handler: watched(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: n.baseContext, ConnState: n.trackDelivery, ConnContext: withConn,
 	}
 }
 
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -109,6 +109,7 @@
 	hasRunnerList  atomic.Bool
 	activeRequests atomic.Int64
 	connections    openConnections
+	unhandledLog   unhandledLog
 	indirectProbes indirectProbes
 	runnerSummary  runnerSummary
 	sights         storeSights
@@ -152,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	deliveryListener = &watchedListener{Listener: deliveryListener, record: n.recordUnhandled}
 	callers, deliveries := &port{n.callerServer(), callerListener}, &port{n.deliveryServer(), deliveryListener}
 	go serve(readyServer, readyListener, failed)
 	go callers.serve(failed)
@@ -177,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: l, limits: n.callerLimits}, nil
+	return &callerListener{Listener: l, limits: n.callerLimits, record: n.recordUnhandled}, nil
 }
 
 func (n *Node) listen(address string) (net.Listener, error) {
