Judge the size of a header by the lowest usual count

What callers would see: a final 431 for a header that is within `max_header_bytes` as they count it. PROTOCOL says that callers keep within that limit and not how they count; they never return after 431.

Cause: the node added the request line, the host and four bytes for each field to the names and values, so that a header of 16,380 bytes of names and values (limit 16,384) was refused, and one of 2,048 short fields from 8,192 bytes less. Above 1 MiB in all, http.Server refused what the highest limit allows, and at another node a head that had grown on the way.

Only names and values are counted now, as decoded. Every other usual count is higher: with separators (the header as sent), with Host, with the request line, with unfolded space, or 32 more bytes a field (HTTP/2). A refusal thus hits only what is over by each of them. Memory stays bounded: whole heads at 2 MiB on the callers' port and 4 MiB between nodes (http.Server, checked before). Fields whose names and values have fewer than 4 bytes each on average can still meet that bound, at limits above 400 KiB. Ruled out: counting less (values alone, one field) as nobody counts a header so; the Cache-Control that Go adds to Pragma: no-cache (21 bytes) is still counted.

--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -15,6 +15,12 @@
 	defaultHeaderBytes = 64 << 10
 	minHeaderBytes     = 4 << 10
 	maxHeaderBytes     = 1 << 20
+	// maxHeadBytes bounds the whole head as it is sent, so that http.Server refuses none that
+	// the limit allows: separators, the line and the host are not counted in that.
+	maxHeadBytes = 2 * maxHeaderBytes
+	// maxDeliveryHeadBytes is the same for heads that another node has written anew, with
+	// fields of its own.
+	maxDeliveryHeadBytes = 2 * maxHeadBytes
 
 	defaultBodyBytes = 8 << 20
 	maxBodyBytes     = 64 << 20
@@ -62,13 +68,13 @@
 	}
 }
 
-// headerBytes returns the size of the line and the header of a request.
+// headerBytes returns the size of the names and values of a request's header. Callers may count
+// more, such as separators, the line and the host, but hardly less.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*separators
+	size := 0
 	for k, values := range r.Header {
 		for _, v := range values {
-			size += len(k) + len(v) + separators
+			size += len(k) + len(v)
 		}
 	}
 	return size
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -38,7 +38,7 @@
 		BaseContext:    n.baseContext,
 		ConnState:      n.trackCaller,
 		ConnContext:    withConn,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 }
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -17,7 +17,7 @@
 // for heartbeats.
 func (n *Node) deliveryServer() *http.Server {
 	return &http.Server{
-		Handler: watched(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: watched(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxDeliveryHeadBytes,
 		BaseContext: n.baseContext, ConnState: n.trackDelivery, ConnContext: withConn,
 	}
 }
