Let lowered limits of callers hold only once the older version is out of force

What callers would see: while a version that lowers `max_header_bytes` or `max_body_bytes` spreads, a final 431 or 413 for a request within the older limit, which may still be in force (`config_propagation_ms`, 2 to 4 s from the acknowledgement).

Cause: the limits of the configuration in use applied at once, also those that it lowers. Idle times were held per connection already, as their callers are told them; sizes and the header timeout were not.

A node now keeps the limits that were in force for 5 s after a configuration lowers one; the higher of old and new holds until then. Raised limits hold at once. Several lowerings in a row extend it, other changes do not.

Ruled out: a limit that a caller has learned before this node has (a raised one): the node cannot know it, and the request is not within every version that may be in force. Left: the idle time of a connection that is opened after a lowering; closing it is no refusal.

With the call of holdLimits taken out: TestCallersOfIdle.../sizes_that_a_new_configuration_lowers_and_raises step 2, request: status 431, wanted 503 TestCallersOfIdle.../a_header_timeout_that_a_new_configuration_lowers step 1, slow: status 408, wanted 503

--- a/internal/node/server/caller_conn_test.go
+++ b/internal/node/server/caller_conn_test.go
@@ -27,9 +27,11 @@
 	IdleMS      int64 `json:"idle_ms"`
 	HeaderMS    int64 `json:"header_ms"`
 	HeaderBytes int   `json:"header_bytes"`
+	BodyBytes   int64 `json:"body_bytes"`
 }
 
-// connectionStep is what a caller does on its connection, or "limits" for a change of them.
+// connectionStep is what a caller does on its connection, "limits" for a change of them, or
+// "configure" for a new configuration with others.
 type connectionStep struct {
 	Do string `json:"do"`
 	// MS is how long a wait or a slow header lasts, or after which time the node must have
@@ -40,6 +42,7 @@
 	HeaderBytes int `json:"header_bytes"`
 	Fields      int `json:"fields"`
 	TargetBytes int `json:"target_bytes"`
+	BodyBytes   int `json:"body_bytes"`
 	// Status is that of the response, or 0 for the one of an admitted request.
 	Status int `json:"status"`
 	// KeepAlive is not compared if it is empty.
@@ -74,6 +77,10 @@
 					n.setLimits(step.Limits)
 					continue
 				}
+				if step.Do == "configure" {
+					n.node.useCatalog(&matcher.Catalog{Version: int64(i + 1), Limits: step.Limits.limits()}, follower.Object{})
+					continue
+				}
 				if err := c.do(&step); err != nil {
 					t.Fatalf("step %d, %s: %v", i, step.Do, err)
 				}
@@ -115,9 +122,14 @@
 }
 
 func (s *callerServer) setLimits(l connectionLimits) {
-	s.node.catalog.Store(&matcher.Catalog{Limits: matcher.Limits{
-		IdleTimeout: time.Duration(l.IdleMS) * time.Millisecond, HeaderTimeout: time.Duration(l.HeaderMS) * time.Millisecond, HeaderBytes: l.HeaderBytes,
-	}})
+	s.node.catalog.Store(&matcher.Catalog{Limits: l.limits()})
+}
+
+func (l *connectionLimits) limits() matcher.Limits {
+	return matcher.Limits{
+		IdleTimeout: time.Duration(l.IdleMS) * time.Millisecond, HeaderTimeout: time.Duration(l.HeaderMS) * time.Millisecond,
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes,
+	}
 }
 
 func (s *callerServer) connect(t *testing.T) *callerClient {
@@ -147,6 +159,9 @@
 	case "request":
 		head := strings.Replace(requestHead, "/x", "/x"+strings.Repeat("x", step.TargetBytes), 1)
 		return c.request(step, head+strings.Repeat("Abc: 12345\r\n", step.Fields), "X: "+strings.Repeat("x", step.HeaderBytes)+"\r\n\r\n", 0)
+	case "post":
+		head := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h.example\r\nId: a1\r\nContent-Length: %d\r\n\r\n", step.BodyBytes)
+		return c.request(step, head, strings.Repeat("x", step.BodyBytes), 0)
 	case "slow":
 		return c.request(step, requestHead, "\r\n", pause)
 	case "together":
--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -34,10 +34,45 @@
 	maxIdleTimeout     = 10 * time.Minute
 )
 
-// callerLimits returns the limits for callers that are in force now.
+// lowerLimitDelay is how long a limit that was lowered does not apply yet. It exceeds the time
+// that a configuration needs to come into force at all nodes: until then callers may keep
+// within the older one.
+const lowerLimitDelay = 5 * time.Second
+
+// heldLimits are limits from before some were lowered, in force until a time.
+type heldLimits struct {
+	matcher.Limits
+	until time.Time
+}
+
+// callerLimits returns the limits for callers that are in force now. The idle time is held for
+// each connection, as its caller was told.
 func (n *Node) callerLimits() matcher.Limits {
+	l, held := followedLimits(n.catalog.Load()), n.heldLimits.Load()
+	if held == nil || !time.Now().Before(held.until) {
+		return l
+	}
+	l.HeaderBytes = max(l.HeaderBytes, held.HeaderBytes)
+	l.BodyBytes = max(l.BodyBytes, held.BodyBytes)
+	l.HeaderTimeout = max(l.HeaderTimeout, held.HeaderTimeout)
+	return l
+}
+
+// holdLimits keeps the limits that are in force if the next configuration lowers some.
+func (n *Node) holdLimits(old, next *matcher.Catalog) {
+	if old == nil {
+		return
+	}
+	x, y := followedLimits(old), followedLimits(next)
+	if y.HeaderBytes < x.HeaderBytes || y.BodyBytes < x.BodyBytes || y.HeaderTimeout < x.HeaderTimeout {
+		n.heldLimits.Store(&heldLimits{Limits: n.callerLimits(), until: time.Now().Add(lowerLimitDelay)})
+	}
+}
+
+// followedLimits returns the limits of a configuration, or of none, as the node follows them.
+func followedLimits(c *matcher.Catalog) matcher.Limits {
 	l := matcher.Limits{}
-	if c := n.catalog.Load(); c != nil {
+	if c != nil {
 		l = c.Limits
 	}
 	return matcher.Limits{
--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -84,6 +84,7 @@
 		}
 		return
 	}
+	n.holdLimits(old, c)
 	n.catalog.Store(c)
 	n.versions.object.Store(&o)
 	n.tracker.SetServices(c.Services)
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -126,6 +126,8 @@
 	storeNodes      atomic.Pointer[storeNodes]
 	// reloadedBounds are the bounds of the last reload; nil means Settings.Bounds.
 	reloadedBounds atomic.Pointer[Bounds]
+	// heldLimits is nil if no limit of callers was lowered.
+	heldLimits atomic.Pointer[heldLimits]
 }
 
 // Run serves until ctx ends and then stops gracefully.
