Check the size of a body only at the node that the caller chose

What callers would see: a final 413 for a body that their node has let pass, if it hands the request over to a node that still uses a configuration with a lower `max_body_bytes`.

Cause: the node that takes a request over read its body by the limit of its own configuration. The header was not checked there, the body was.

It now reads up to the highest limit that any node follows (64 MiB); the first node has read the whole body by then.

Before the fix: --- FAIL: TestSizeOfARequestIsCheckedByItsFirstNodeOnly (0.00s) caller_limits_test.go:32: status 413, wanted 503

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -70,6 +70,10 @@
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
 	limits := n.callerLimits()
+	if d != nil {
+		// The node that hands it over has checked the size, perhaps by a newer configuration.
+		limits.BodyBytes = maxBodyBytes
+	}
 	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
