Answer 503 without a configuration before any limit is looked at

What callers would see: a final 431 or 413 from a node that has just started, for a request within `max_header_bytes` or `max_body_bytes` where these are above the defaults (64 KiB, 8 MiB). A node that knows no configuration yet answers 503 (RULES, DENIED).

Cause: size and body were checked by the default limits before the admitter was asked.

A node without a configuration now asks the admitter first, and reads no body for a request that it cannot serve.

Ruled out: raising the defaults to the highest limits, which would let any caller fill the memory of such a node.

Before the fix: --- FAIL: TestNodeWithoutConfigurationRefusesNoSize (0.24s) caller_limits_test.go:48: status 431, wanted 503 caller_limits_test.go:48: status 413, wanted 503

--- a/internal/node/server/caller_limits_test.go
+++ b/internal/node/server/caller_limits_test.go
@@ -33,3 +33,19 @@
 		}
 	}
 }
+
+// TestNodeWithoutConfigurationRefusesNoSize guards against a final 413 or 431 of a node that knows
+// no limits yet.
+func TestNodeWithoutConfigurationRefusesNoSize(t *testing.T) {
+	t.Parallel()
+	s := startCallerServer(t)
+	for _, x := range []struct{ field, body int }{{defaultHeaderBytes + 1, 0}, {0, defaultBodyBytes + 1}} {
+		r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", x.body)))
+		r.Header.Set("X", strings.Repeat("x", x.field))
+		w := httptest.NewRecorder()
+		s.node.serve(w, r, nil)
+		if w.Code != notAdmitted {
+			t.Errorf("status %d, wanted %d", w.Code, notAdmitted)
+		}
+	}
+}
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -69,6 +69,13 @@
 	n.closeIfStopping(w.Header())
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
+	if n.catalog.Load() == nil {
+		// It knows no limits either.
+		if _, failure := n.admitter.Admit(in); failure != nil {
+			n.fail(w, nil, d, failure)
+			return
+		}
+	}
 	limits := n.callerLimits()
 	if d != nil {
 		// The node that hands it over has checked the size, perhaps by a newer configuration.
