Route OPTIONS * as all requests are

Cause: http.Server answers that request by itself, before any handler, unless DisableGeneralOptionsHandler is set.

It now reaches the handler and takes the ordinary way; as every path prefix begins with a slash it has no route, and gets 404 (503 while the configuration is not confirmed, as in the test). The same on the port for other nodes.

Before the fix: --- FAIL: TestProperRequestsAreNotTurnedAway/options_of_the_server,_which_have_no_route (0.01s) proper_requests_test.go:72: status 200, wanted 503

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -40,6 +40,8 @@
 		ConnContext:    withConn,
 		MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		// OPTIONS * is routed as all requests are.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -18,7 +18,7 @@
 func (n *Node) deliveryServer() *http.Server {
 	return &http.Server{
 		Handler: watched(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxDeliveryHeadBytes,
-		BaseContext: n.baseContext, ConnState: n.trackDelivery, ConnContext: withConn,
+		BaseContext: n.baseContext, ConnState: n.trackDelivery, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 	}
 }
 
