Take an absolute request target as the path that it stands for

RFC 9112 (3.2.2) asks each server to take that form.

Cause: http.Server passes the target as sent, and the node matched the empty path and sent the target on unchanged.

The node cuts scheme and host off first; http.Server has already taken the host of the request from them. Paths and queries that only contain an address stay as they are.

No caller of ours sends that form. Before the fix: TestProperRequestsAreNotTurnedAway/absolute_target_without_a_path: status 503, wanted 200 TestProperRequestsAreNotTurnedAway/absolute_target: the runner got "http://h.example/x?a=1", "", ""

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -69,6 +69,7 @@
 	defer n.activeRequests.Add(-1)
 	defer requestDurations.UpdateDuration(arrived)
 	n.closeIfStopping(w.Header())
+	useOriginForm(r)
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
 	if n.catalog.Load() == nil {
