List of models: answer 503 while the node knows no configuration

What callers would see: a 401 to `GET /v1/models` from a node that has just started, with a credential that is in force.

Cause: calls to models and services ask Ready first; the list of models asked for the credential at once, and a node without a configuration knows none.

The list asks Ready first too, as serve does.

Found by reading. Before the fix: --- FAIL: TestNodeWithoutConfigurationDeniesNothing (0.00s) server_test.go:22: /v1/models: status 401

--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -57,6 +57,8 @@
 	maxTimeoutMS     = 86_400_000
 	// requestIDBase is the number base of the counter in a request ID.
 	requestIDBase = 36
+
+	notReadyMessage = "the node has no configuration yet"
 )
 
 var (
@@ -231,7 +233,7 @@
 		return fail(c, http.StatusServiceUnavailable, responder.ReasonShuttingDown, "the node is shutting down")
 	}
 	if s.Ready != nil && !s.Ready() {
-		return fail(c, http.StatusServiceUnavailable, responder.ReasonNotReady, "the node has no configuration yet")
+		return fail(c, http.StatusServiceUnavailable, responder.ReasonNotReady, notReadyMessage)
 	}
 	if failure := s.authenticate(r, c); failure != nil {
 		return failure
@@ -385,6 +387,10 @@
 }
 
 func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
+	if s.Ready != nil && !s.Ready() {
+		responder.Error(w, s.refusal(http.StatusServiceUnavailable, responder.ReasonNotReady, notReadyMessage))
+		return
+	}
 	if _, ok := authenticator.Team(r, s.Board.TeamByCredential); !ok {
 		responder.Error(w, s.refusal(http.StatusUnauthorized, responder.ReasonUnknownCredential, "the credential belongs to no team"))
 		return
