Product's interface: route OPTIONS * as all requests are

What callers would see: 200 to `OPTIONS *` without X-Outcome, a success that no handler has given.

Cause: http.Server answers it by itself unless DisableGeneralOptionsHandler is set. It now gets 404 `unknown_path` as all unknown paths.

Found by reading. Before the fix: --- FAIL: TestLibraryGivesNoSuccessOfItsOwn (0.00s) node_test.go:36: status 200

--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -131,6 +131,8 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		// OPTIONS * is routed as all requests are.
+		DisableGeneralOptionsHandler: true,
 	}
 	if address == n.Settings.PeerAddress {
 		server.Protocols = exchanger.Protocols()
