--- a/internal/node/server/watched_conn.go
+++ b/internal/node/server/watched_conn.go
@@ -26,15 +26,15 @@
 	deliveryPort = "nodes"
 )
 
-// watchedConn is a connection that tells of answers that http.Server gives by itself, such as
-// 400 for a request that it cannot parse. No handler sees these requests.
+// watchedConn is a connection that tells of answers that no handler gives. http.Server gives
+// them by itself, such as 400 for a request that it cannot parse.
 type watchedConn struct {
 	*net.TCPConn
 	port string
 	// record is called with the status line of such an answer.
 	record func(port string, c net.Conn, statusLine string)
-	// isHandled is set once a request has reached the handler, and isRefused once http.Server
-	// has answered one by itself, until the connection is idle.
+	// isHandled is set once a request has reached the handler, and isRefused once one was
+	// answered without it, until the connection is idle.
 	isHandled, isRefused atomic.Bool
 }
 
@@ -115,7 +115,7 @@
 	return l.lines <= maxUnhandledLines
 }
 
-// recordUnhandled counts and logs an answer that http.Server has given by itself.
+// recordUnhandled counts and logs an answer that no handler has given.
 func (n *Node) recordUnhandled(port string, c net.Conn, statusLine string) {
 	status := "none"
 	if len(statusLine) >= statusEnd {
