--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -35,12 +35,14 @@
 // callerServer serves callers. The connections keep their time limits themselves.
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:        http.HandlerFunc(n.serveCaller),
+		Handler:        watched(n.serveCaller),
 		BaseContext:    n.baseContext,
 		ConnState:      n.trackCaller,
-		ConnContext:    withCallerConn,
-		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    withConn,
+		MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		// OPTIONS * is routed as all requests are.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -68,15 +70,28 @@
 	defer n.activeRequests.Add(-1)
 	defer requestDurations.UpdateDuration(arrived)
 	n.closeIfStopping(w.Header())
+	useOriginForm(r)
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
 	catalog := n.catalog.Load()
-	if failure := checkHeader(r, in.ID, limitsOf(catalog)); d == nil && failure != nil {
+	if catalog == nil {
+		// It knows no limits either.
+		if _, failure := n.admitter.Admit(in); failure != nil {
+			n.fail(w, nil, d, failure)
+			return
+		}
+	}
+	limits := n.callerLimits()
+	if d != nil {
+		// The node that hands it over has checked the size, perhaps by a newer configuration.
+		limits.BodyBytes = maxBodyBytes
+	}
+	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
-	body, failure := n.readBody(rw, r, in, catalog)
+	body, failure := n.readBody(rw, r, in, catalog, limits)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -96,8 +111,8 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the limit of a configuration.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit, which follows from a configuration.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -108,7 +123,7 @@
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limitsOf(c).BodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -137,6 +137,7 @@
 		}
 		return false
 	}
+	n.holdLimits(old, c)
 	n.catalog.Store(c)
 	n.versions.object.Store(&o)
 	n.tracker.SetServices(c.Services)
