A header is too large only by a configuration that may be the newest one

What callers would see (by test): a final 431 for a header that the newest configuration allows, from a node with an old one, or one that is known not to be the newest.

The limit asks Admitter.Deny as the others do. Without the fix TestLargeRequestIsDeniedOnlyByTheNewestConfiguration (TestLargeBody... before, with the header added) fails for old and newer_one_exists: "body 0, field 65537: status 431, want 503".

--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
 )
 
@@ -91,16 +92,15 @@
 	return min(max(limit, lowest), highest)
 }
 
-// checkHeader returns the failure for a request whose header is larger than the limit.
-func checkHeader(r *http.Request, id string, l matcher.Limits) *responder.Failure {
+// checkHeader returns the failure for a request whose header is larger than the limit, which
+// follows from a configuration.
+func (n *Node) checkHeader(r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) *responder.Failure {
 	size := headerBytes(r)
 	if size <= l.HeaderBytes {
 		return nil
 	}
-	return &responder.Failure{
-		Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonHeaderTooLarge, RequestID: id,
-		Message: fmt.Sprintf("the header has %d bytes, more than %d", size, l.HeaderBytes),
-	}
+	message := fmt.Sprintf("the header has %d bytes, more than %d", size, l.HeaderBytes)
+	return n.admitter.Deny(c, in, http.StatusRequestHeaderFieldsTooLarge, responder.ReasonHeaderTooLarge, message)
 }
 
 // headerBytes returns the size of the names and values of a request's header. Callers may count
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -86,7 +86,7 @@
 		// The node that hands it over has checked the size, perhaps by a newer configuration.
 		limits.BodyBytes = maxBodyBytes
 	}
-	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+	if failure := n.checkHeader(r, in, catalog, limits); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
--- a/internal/node/server/verdicts_test.go
+++ b/internal/node/server/verdicts_test.go
@@ -215,29 +215,40 @@
 	behind.check(t, 1, change)
 }
 
-// TestLargeBodyIsDeniedOnlyByTheNewestConfiguration guards against 413 by the limit of an old
-// configuration, or by the default of a node that has none.
-func TestLargeBodyIsDeniedOnlyByTheNewestConfiguration(t *testing.T) {
+// TestLargeRequestIsDeniedOnlyByTheNewestConfiguration guards against 413 and 431 by the limit of
+// an old configuration, or by the default of a node that has none.
+func TestLargeRequestIsDeniedOnlyByTheNewestConfiguration(t *testing.T) {
+	catalog := &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9, HeaderBytes: minHeaderBytes}}
 	for name, x := range map[string]struct {
 		catalog *matcher.Catalog
 		newest  int64
 		age     time.Duration
-		status  int
+		denies  bool
 	}{
-		"newest":           {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 11, status: http.StatusRequestEntityTooLarge},
-		"old":              {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 11, age: 2 * time.Second, status: http.StatusServiceUnavailable},
-		"newer one exists": {catalog: &matcher.Catalog{Version: 11, Limits: matcher.Limits{BodyBytes: 9}}, newest: 12, status: http.StatusServiceUnavailable},
-		"none":             {status: http.StatusServiceUnavailable},
+		"newest":           {catalog: catalog, newest: 11, denies: true},
+		"old":              {catalog: catalog, newest: 11, age: 2 * time.Second},
+		"newer one exists": {catalog: catalog, newest: 12},
+		"none":             {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := startCallerServer(t).node
 			n.catalog.Store(x.catalog)
 			n.versions.newestVersion.Store(x.newest)
 			n.admitter.Age = func() time.Duration { return x.age }
-			w := httptest.NewRecorder()
-			n.serveCaller(w, httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(make([]byte, defaultBodyBytes+1))))
-			if w.Code != x.status {
-				t.Errorf("status %d, want %d", w.Code, x.status)
+			for _, large := range []struct{ body, field, status int }{
+				{defaultBodyBytes + 1, 0, http.StatusRequestEntityTooLarge}, {0, defaultHeaderBytes + 1, http.StatusRequestHeaderFieldsTooLarge},
+			} {
+				want := http.StatusServiceUnavailable
+				if x.denies {
+					want = large.status
+				}
+				r := httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(make([]byte, large.body)))
+				r.Header.Set("X", strings.Repeat("x", large.field))
+				w := httptest.NewRecorder()
+				n.serveCaller(w, r)
+				if w.Code != want {
+					t.Errorf("body %d, field %d: status %d, want %d", large.body, large.field, w.Code, want)
+				}
 			}
 		})
 	}
