--- a/internal/node/server/caller_conn.go
+++ b/internal/node/server/caller_conn.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -46,7 +47,7 @@
 // limits in force. An http.Server has a single fixed idle timeout instead, and applies its
 // header timeout to the wait for the first request as well.
 type callerConn struct {
-	*net.TCPConn
+	watchedConn
 	limits func() matcher.Limits
 
 	mu    sync.Mutex
@@ -57,8 +58,6 @@
 	headerDeadline time.Time
 	// allowed is how long the caller may leave the connection idle, as it was last told.
 	allowed time.Duration
-	// isHandled is set once the request has reached the handler.
-	isHandled bool
 }
 
 // Read implements net.Conn.
@@ -66,6 +65,11 @@
 	for {
 		phase, deadline := c.setDeadline()
 		n, err := c.TCPConn.Read(p)
+		if phase == phaseIdle && n > 0 {
+			if n = skipEmptyLines(p[:n]); n == 0 && err == nil {
+				continue
+			}
+		}
 		if n > 0 {
 			c.receive()
 			return n, err
@@ -120,14 +124,19 @@
 func (c *callerConn) readLast(p []byte) (int, error) {
 	_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
 	n, err := c.TCPConn.Read(p)
+	n = skipEmptyLines(p[:n])
 	if n > 0 {
 		c.receive()
 		return n, err
 	}
 	idleClosed.Inc()
-	return n, err
+	return 0, os.ErrDeadlineExceeded
 }
 
+// skipEmptyLines cuts the empty lines in front of a request, which servers should ignore, off
+// what was read, and returns the length of the rest.
+func skipEmptyLines(b []byte) int { return copy(b, bytes.TrimLeft(b, "\r\n")) }
+
 // receive records that bytes have arrived.
 func (c *callerConn) receive() {
 	c.mu.Lock()
@@ -151,27 +160,27 @@
 
 // wait records that the connection is idle.
 func (c *callerConn) wait() {
+	c.watchedConn.wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseIdle
-	c.isHandled = false
 	c.since = time.Now()
 }
 
-// isUnserved reports whether a header was read that has not reached the handler.
+// isUnserved reports whether a header was read that has neither reached the handler nor been
+// answered.
 func (c *callerConn) isUnserved() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseServing && !c.isHandled
+	return c.phase == phaseServing && !c.isHandled.Load() && !c.isRefused.Load()
 }
 
-// handle records that the request has reached the handler, and how long the caller may leave
-// the connection idle after the response.
+// handle records that a request is handled, and how long the caller may leave the connection
+// idle after the response.
 func (c *callerConn) handle(idle time.Duration) {
 	c.serve()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isHandled = true
 	c.allowed = idle
 }
 
@@ -179,6 +188,7 @@
 type callerListener struct {
 	net.Listener
 	limits func() matcher.Limits
+	record func(port string, c net.Conn, statusLine string)
 }
 
 // Accept implements net.Listener.
@@ -189,7 +199,10 @@
 		return c, err
 	}
 	limits := l.limits()
-	return &callerConn{TCPConn: tcp, limits: l.limits, since: time.Now(), allowed: limits.IdleTimeout}, nil
+	return &callerConn{
+		watchedConn: watchedConn{TCPConn: tcp, port: callerPort, record: l.record},
+		limits:      l.limits, since: time.Now(), allowed: limits.IdleTimeout,
+	}, nil
 }
 
 // trackCaller tells a connection in which state the server has it.
@@ -213,17 +226,8 @@
 	}
 }
 
-type callerConnKey struct{}
-
-func withCallerConn(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*callerConn); ok {
-		return context.WithValue(ctx, callerConnKey{}, c)
-	}
-	return ctx
-}
-
 // callerConnOf returns the connection of a request, or nil if it is not one of a caller.
 func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	c, _ := ctx.Value(connKey{}).(*callerConn)
 	return c
 }
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -15,6 +15,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
@@ -34,12 +35,14 @@
 // callerServer serves callers. The connections keep their time limits themselves.
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:        http.HandlerFunc(n.serveCaller),
+		Handler:        watched(n.serveCaller),
 		BaseContext:    n.baseContext,
 		ConnState:      n.trackCaller,
-		ConnContext:    withCallerConn,
-		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    withConn,
+		MaxHeaderBytes: maxHeadBytes,
 		ErrorLog:       slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		// OPTIONS * is routed as all requests are.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -67,15 +70,28 @@
 	defer n.activeRequests.Add(-1)
 	defer requestDurations.UpdateDuration(arrived)
 	n.closeIfStopping(w.Header())
+	useOriginForm(r)
 	in := n.Platform.ParseRequest(r)
 	in.Arrived = arrived
+	catalog := n.catalog.Load()
+	if catalog == nil {
+		// It knows no limits either.
+		if _, failure := n.admitter.Admit(in); failure != nil {
+			n.fail(w, nil, d, failure)
+			return
+		}
+	}
 	limits := n.callerLimits()
-	if failure := checkHeader(r, in.ID, limits); d == nil && failure != nil {
+	if d != nil {
+		// The node that hands it over has checked the size, perhaps by a newer configuration.
+		limits.BodyBytes = maxBodyBytes
+	}
+	if failure := n.checkHeader(r, in, catalog, limits); d == nil && failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
-	body, failure := n.readBody(rw, r, in.ID, limits)
+	body, failure := n.readBody(rw, r, in, catalog, limits)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -95,8 +111,8 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the limit.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, id string, l matcher.Limits) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit, which follows from a configuration.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -113,9 +129,9 @@
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, &responder.Failure{Status: http.StatusRequestEntityTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonBodyTooLarge, Message: err.Error(), RequestID: id}
+		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
 	}
-	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: id}
+	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
 
 // serveCall sends an admitted call to a runner and writes the response.
@@ -158,7 +174,7 @@
 	}
 	n.Log.Info("request completed", "request", c.ID, "status", status, "service", c.Service, "model", c.Model,
 		"attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "from_node", from, "wait_ms", c.Timing.Placed.Milliseconds(), "first_ms", c.Timing.FirstByte.Milliseconds(),
-		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds())
+		"gap_ms", c.Timing.LongestGap.Milliseconds(), "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 }
 
 // fail logs and counts a failure and writes it to the caller. It aborts the
@@ -166,13 +182,20 @@
 // closed its sending half only, and gets the failure too.
 func (n *Node) fail(w *callerResponse, c *relayer.Call, d *deliverer.Delivery, f *responder.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_failures_total{reason=%q,outcome=%q}`, string(f.Reason), string(f.Outcome))).Inc()
+	age := n.catalogs.Age()
+	if f.Verdict != nil {
+		age = f.Verdict.Age
+	}
 	args := []any{
 		"request", f.RequestID, "status", f.Status, "outcome", f.Outcome, "reason", f.Reason, "message", f.Message,
-		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", n.catalogs.Age().Milliseconds(),
+		"started", f.Started, "retry_after_ms", f.RetryAfter.Milliseconds(), "catalog_age_ms", age.Milliseconds(),
+	}
+	if v := f.Verdict; v != nil {
+		args = append(args, "catalog_version", v.Version, "newest_version", n.newestVersion(), "host", v.Host, "path", v.Path, "credential", v.Credential)
 	}
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
-			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds())
+			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
 		}
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -20,8 +20,8 @@
 // for heartbeats.
 func (n *Node) deliveryServer() *http.Server {
 	return &http.Server{
-		Handler: http.HandlerFunc(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: n.baseContext, ConnState: n.connections.record,
+		Handler: watched(n.serveDelivery), ReadHeaderTimeout: headerTimeout, IdleTimeout: deliveryIdleTimeout, MaxHeaderBytes: maxDeliveryHeadBytes,
+		BaseContext: n.baseContext, ConnState: n.trackDelivery, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -4,8 +4,8 @@
 //
 // If the node cannot decide, it responds with status 503 and the outcome not run. It
 // rejects a route or credential as unknown only if its configuration was confirmed
-// recently, and it accepts no credential once the configuration is so old that the
-// credential may have been revoked.
+// recently and no newer one is known, and it accepts no credential once the configuration
+// is so old that the credential may have been revoked.
 //
 // # Usage
 //
@@ -18,6 +18,7 @@
 	"strconv"
 	"time"
 
+	"marjorammoor/internal/gateway/authenticator"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
@@ -38,6 +39,11 @@
 	staleRetryAfter = 500 * time.Millisecond
 	// defaultTimeout applies to requests without a timeout on routes without one.
 	defaultTimeout = 30 * time.Second
+	// maxVerdictBytes is how much of the host and of the path a verdict holds.
+	maxVerdictBytes = 80
+	// fingerprintDigits is the number of hexadecimal digits by which a verdict tells
+	// credentials apart.
+	fingerprintDigits = 8
 )
 
 // Incoming is a request as received from a caller.
@@ -45,7 +51,7 @@
 	ID     string
 	Method string
 	Host   string
-	// Path excludes the query, Target includes it.
+	// Path is as the caller sent it, without the query; Target includes that.
 	Path       string
 	Target     string
 	Header     http.Header
@@ -70,12 +76,15 @@
 	Arrived time.Time
 }
 
-// Admitter admits requests. Set all fields before use.
+// Admitter admits requests. Set Catalog, Age and RevocationTimeout before use.
 type Admitter struct {
 	// Catalog returns the configuration in force, or nil if there is none.
 	Catalog func() *matcher.Catalog
 	// Age returns the time since the configuration was last confirmed to be current.
 	Age func() time.Duration
+	// MayDeny, if set, reports whether a version of the configuration may be the newest one.
+	// If it is not, a newer one may allow what it does not.
+	MayDeny func(version int64) bool
 	// RevocationTimeout returns the time after which a revoked credential must no
 	// longer be accepted.
 	RevocationTimeout func() time.Duration
@@ -86,12 +95,12 @@
 func (a *Admitter) Admit(in *Incoming) (*relayer.Call, *responder.Failure) {
 	c := a.Catalog()
 	if c == nil {
-		return nil, unavailable(in, responder.ReasonNoConfiguration, "the node has no configuration yet")
+		return nil, unconfigured(in)
 	}
 	age := a.Age()
 	route, ok := c.Match(in.Host, in.Path)
 	if !ok {
-		return nil, deny(in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
+		return nil, a.deny(c, in, age, http.StatusNotFound, responder.ReasonUnknownRoute, "no route matches")
 	}
 	if in.ID == "" {
 		return nil, refuse(in, http.StatusBadRequest, responder.ReasonBadHeader, "the request has no ID")
@@ -100,7 +109,7 @@
 		ID: in.ID, Route: route, Service: route.PickService(), Model: in.Model, Method: in.Method,
 		Target: in.Target, Host: in.Host, Header: in.Header, Body: in.Body,
 		PromptTokens: in.PromptTokens, MaxOutput: in.MaxOutput, SharedParts: in.SharedParts, Prompt: in.Prompt,
-		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived,
+		Priority: route.Priority, LastEvent: in.LastEvent, Arrived: in.Arrived, CatalogVersion: c.Version,
 	}
 	if failure := a.authenticate(c, in, call, age); failure != nil {
 		return nil, failure
@@ -133,7 +142,7 @@
 	}
 	team, ok := c.Team(in.Credential)
 	if !ok {
-		return deny(in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
+		return a.deny(c, in, age, http.StatusUnauthorized, responder.ReasonUnknownCredential, "no team holds the credential")
 	}
 	call.Team = team.Name
 	if team.HasPriority {
@@ -165,13 +174,41 @@
 	}
 }
 
-// deny rejects a request, or reports that the node cannot decide if its
-// configuration is older than maxDenyAge.
-func deny(in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
+// Deny returns the failure for a request that a configuration, or nil for none, does not
+// allow. If it may not be the newest one, the failure says that the node cannot decide.
+func (a *Admitter) Deny(c *matcher.Catalog, in *Incoming, status int, reason responder.Reason, message string) *responder.Failure {
+	if c == nil {
+		return unconfigured(in)
+	}
+	return a.deny(c, in, a.Age(), status, reason, message)
+}
+
+// deny rejects a request, or reports that the node cannot decide if its configuration is
+// older than maxDenyAge or is not the newest one.
+func (a *Admitter) deny(c *matcher.Catalog, in *Incoming, age time.Duration, status int, reason responder.Reason, message string) *responder.Failure {
+	f := refuse(in, status, reason, message)
 	if age > maxDenyAge {
-		return unavailable(in, responder.ReasonConfigurationStale, message+", but the configuration may be old")
+		f = unavailable(in, responder.ReasonConfigurationStale, message+", but the configuration may be old")
+	} else if a.MayDeny != nil && !a.MayDeny(c.Version) {
+		f = unavailable(in, responder.ReasonConfigurationOutdated, message+", but there may be a newer configuration")
 	}
-	return refuse(in, status, reason, message)
+	f.Verdict = verdict(c, in, age)
+	return f
+}
+
+func verdict(c *matcher.Catalog, in *Incoming, age time.Duration) *responder.Verdict {
+	return &responder.Verdict{
+		Version: c.Version, Age: age, Credential: fingerprint(in.Credential),
+		Host: in.Host[:min(len(in.Host), maxVerdictBytes)], Path: in.Path[:min(len(in.Path), maxVerdictBytes)],
+	}
+}
+
+// fingerprint returns the beginning of the hash of a credential.
+func fingerprint(credential string) string {
+	if credential == "" {
+		return ""
+	}
+	return authenticator.Hash(credential)[:fingerprintDigits]
 }
 
 // refuse returns the failure for a request that is not run.
@@ -179,6 +216,10 @@
 	return &responder.Failure{Status: status, Outcome: responder.NotRun, Reason: reason, Message: message, RequestID: in.ID}
 }
 
+func unconfigured(in *Incoming) *responder.Failure {
+	return unavailable(in, responder.ReasonNoConfiguration, "the node has no configuration yet")
+}
+
 // unavailable returns the failure for a request that another node, or this one
 // later, may be able to admit.
 func unavailable(in *Incoming, reason responder.Reason, message string) *responder.Failure {
