--- a/internal/node/server/proper_requests_test.go
+++ b/internal/node/server/proper_requests_test.go
@@ -59,7 +59,6 @@
 	defer runners.Close()
 	s := startCallerServer(t)
 	s.useRunner("idempotent", strings.TrimPrefix(runners.URL, "http://"))
-	s.node.catalog.Load().Limits.BodyBytes = x.BodyBytes
 	s.node.Platform.Wire.Header = func(c *relayer.Call, _ *tracker.Target, _ time.Duration, _ string) http.Header {
 		h := c.Header.Clone()
 		for _, k := range []string{"Connection", "Content-Length", "Expect", "Te", "Trailer", "Upgrade"} {
@@ -67,6 +66,9 @@
 		}
 		return h
 	}
+	catalog := *s.node.catalog.Load()
+	catalog.Limits.BodyBytes = x.BodyBytes
+	s.node.catalog.Store(&catalog)
 	c := s.connect(t)
 	if _, err := io.WriteString(c.conn, x.Request); err != nil {
 		t.Fatal(err)
