Name the request in every answer to another node

What callers saw: a node that hands a request over on a connection that it has used before takes no answer there that does not name the request (late answers to earlier ones come so), and waits on. The other node's answer after a panic named none, and neither did one of a runner that had named none on its new connection, which the other node takes. The caller then got 504 at its deadline, though the request had been answered.

Cause: who an answer belongs to was left to whoever made it. Ruled out: http.Server's own answers (400, 431, 505) name none either, but end their connection, so that the sender sees the end at once ("earlier refusal written once more without an attempt is no answer" in requester's exchanges.json).

Change: serveDelivery names the request in the header before anything else can answer; a runner's own name for it still goes before. TestAnswersToOtherNodesNameTheRequest without the fix: "unnamed: status 200 names the request """, "panic: status 502 names the request """.

--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -28,6 +28,7 @@
 // serveDelivery serves a request that another node hands over. Only nodes that this one knows are
 // served: those that it has heard of by heartbeats or in the store.
 func (n *Node) serveDelivery(w http.ResponseWriter, r *http.Request) {
+	n.nameRequest(w, r)
 	sender := deliverer.Sender(r.Header)
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil || !n.beater.Knows(sender, host) {
@@ -44,6 +45,14 @@
 	n.serve(w, r, &d)
 }
 
+// nameRequest names the request in the header of the response, whoever makes it: on a connection
+// that it has used before, the other node takes no response that names none.
+func (n *Node) nameRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(n.Platform.Wire.Echo); id != "" {
+		w.Header().Set(n.Platform.Wire.Echo, id)
+	}
+}
+
 // refuseDelivery refuses a request of another node, which may hand it over to a third one.
 func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, reason responder.Reason, message string) {
 	d := &deliverer.Delivery{Node: deliverer.Sender(r.Header)}
--- a/internal/node/server/deliveries_test.go
+++ b/internal/node/server/deliveries_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
@@ -34,3 +35,22 @@
 		t.Errorf("the runner got %d requests, wanted none", got)
 	}
 }
+
+// TestAnswersToOtherNodesNameTheRequest guards against answers that the other node skips on a
+// connection that it has used before, and then waits until its deadline.
+func TestAnswersToOtherNodesNameTheRequest(t *testing.T) {
+	for _, behavior := range []string{"ok", "unnamed", "panic"} {
+		x := &stopCase{Route: "post", Runner: behavior}
+		n := newStoppingNode(t, x)
+		c := x.dial(t, n.deliveries.listener.Addr().String())
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(c, x.request("q"))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := response.Header.Get("Id"); got != "q" {
+			t.Errorf("%s: status %d names the request %q", behavior, response.StatusCode, got)
+		}
+	}
+}
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -284,6 +284,9 @@
 func stopWire() *relayer.Wire {
 	return &relayer.Wire{
 		Header: func(c *relayer.Call, _ *tracker.Target, remaining time.Duration, _ string) http.Header {
+			if c.Header.Get("Runner") == "panic" {
+				panic("header")
+			}
 			return http.Header{"Id": {c.ID}, "Runner": {c.Header.Get("Runner")}, "Left": {strconv.FormatInt(remaining.Milliseconds(), 10)}}
 		},
 		Echo: "Id",
@@ -295,7 +298,7 @@
 }
 
 // stopRunner returns a runner that answers at once ("ok"), after slowAnswer ("slow"), never
-// ("silent"), or with events, without end or three.
+// ("silent"), without naming the request ("unnamed"), or with events, without end or three.
 func (n *stoppingNode) stopRunner() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.sends.Add(1)
@@ -314,6 +317,9 @@
 			return
 		case "ok":
 			return
+		case "unnamed":
+			w.Header().Del("Id")
+			return
 		case "events":
 			events = 1 << 30
 		}
