Serve no request of another node by an older configuration than its own

Cause: the mirror of the denials that were taken over: that another node served a request counted, by whatever configuration it did so. No limit of age applies to what is admitted without a credential, so a node that is cut off from the store would go on for as long as it is.

Change: the version in use travels along (X-Delivery-Version), and a node with an older one refuses: 503, not run, configuration_stale, which the first node leaves to others at once. Builds before this one name no version and are served as before; they pass the header on to runners, which take no notice. In the moments in which a version spreads all three nodes that are asked may refuse: then the caller comes back after 0.5 s.

Before: "version "2": status 200, run true, want status 503"; "the other node was told version , want 1". The two mutants were run and fail.

--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -34,12 +35,16 @@
 	if err != nil || !n.beater.Knows(sender, host) {
 		n.Log.Warn("request from an unknown node is refused", "address", r.RemoteAddr, "from_node", sender, "known_nodes", n.beater.PeerCount(),
 			"age_ms", time.Since(n.startedAt).Milliseconds())
-		n.refuseDelivery(w, r, responder.ReasonUnknownPeer, "this node does not know the node that hands the request over")
+		n.refuseDelivery(w, r, sender, responder.ReasonUnknownPeer, "this node does not know the node that hands the request over")
 		return
 	}
 	d, err := deliverer.ParseDelivery(r.Header)
 	if err != nil {
-		n.refuseDelivery(w, r, responder.ReasonBadDelivery, err.Error())
+		n.refuseDelivery(w, r, sender, responder.ReasonBadDelivery, err.Error())
+		return
+	}
+	if own := n.catalogVersion(); own < d.Version {
+		n.refuseDelivery(w, r, sender, responder.ReasonConfigurationStale, fmt.Sprintf("this node uses version %d of the configuration, the other one %d", own, d.Version))
 		return
 	}
 	n.serve(w, r, &d)
@@ -54,8 +59,8 @@
 }
 
 // refuseDelivery refuses a request of another node, which may hand it over to a third one.
-func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, reason responder.Reason, message string) {
-	d := &deliverer.Delivery{Node: deliverer.Sender(r.Header)}
+func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, sender string, reason responder.Reason, message string) {
+	d := &deliverer.Delivery{Node: sender}
 	n.fail(&callerResponse{ResponseWriter: w}, nil, d, &responder.Failure{
 		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: reason, Message: message,
 		RequestID: n.Platform.ParseRequest(r).ID, RetryAfter: refusedDeliveryRetryAfter,
--- a/internal/node/server/deliveries_test.go
+++ b/internal/node/server/deliveries_test.go
@@ -54,3 +54,38 @@
 		}
 	}
 }
+
+// TestOlderConfigurationServesNoOtherNodesRequest guards against requests that are handled by an
+// older version of the configuration than that of the node which the caller has asked.
+func TestOlderConfigurationServesNoOtherNodesRequest(t *testing.T) {
+	x := &stopCase{Route: "post", Runner: "ok"}
+	n := newStoppingNode(t, x)
+	time.Sleep(100 * time.Millisecond)
+	for version, want := range map[string]int{"": http.StatusOK, "0": http.StatusOK, "1": http.StatusOK, "2": http.StatusServiceUnavailable, "x": http.StatusServiceUnavailable} {
+		c, before := x.dial(t, n.deliveries.listener.Addr().String()), n.sends.Load()
+		_, _ = io.WriteString(c, strings.Replace(x.request("q"), "\r\n", "\r\nX-Delivery-Version: "+version+"\r\n", 1))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		isRun := n.sends.Load() > before
+		if response.StatusCode != want || isRun != (want == http.StatusOK) {
+			t.Errorf("version %q: status %d, run %t, want status %d", version, response.StatusCode, isRun, want)
+		}
+	}
+}
+
+// TestSenderNamesItsVersion guards against requests that are handed over without the version of
+// the configuration that has admitted them.
+func TestSenderNamesItsVersion(t *testing.T) {
+	x := &stopCase{Route: "post", Runner: "ok", CutOff: true}
+	n := newStoppingNode(t, x)
+	c := x.dial(t, n.callers.listener.Addr().String())
+	_, _ = io.WriteString(c, x.request("q"))
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.version.Load(); got != "1" {
+		t.Errorf("the other node was told version %v, want 1", got)
+	}
+}
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -91,6 +91,8 @@
 	*Node
 	callers, deliveries *port
 	sends, leftMS       atomic.Int64
+	// version is the version of the configuration that the last request names.
+	version atomic.Value
 }
 
 func (x *stopCase) check(t *testing.T) {
@@ -304,6 +306,7 @@
 		n.sends.Add(1)
 		left, _ := strconv.ParseInt(r.Header.Get("Left"), 10, 64)
 		n.leftMS.Store(left)
+		n.version.Store(r.Header.Get("X-Delivery-Version"))
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signed", "1")
--- a/internal/peer/deliverer/delivery.go
+++ b/internal/peer/deliverer/delivery.go
@@ -1,6 +1,7 @@
 package deliverer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -24,6 +25,8 @@
 	headerAttempts = "X-Delivery-Attempts"
 	// headerLastEvent is the ID of the last event of the stream that the caller has.
 	headerLastEvent = "X-Delivery-Last-Event"
+	// headerVersion is the version of the configuration in use there.
+	headerVersion = "X-Delivery-Version"
 	// headerOutcome and headerReason are those of a failure.
 	headerOutcome = "X-Delivery-Outcome"
 	headerReason  = "X-Delivery-Reason"
@@ -44,6 +47,8 @@
 	Attempts int
 	// LastEvent is the ID of the last event that the caller has, or empty.
 	LastEvent string
+	// Version is the version of the configuration in use there, or 0 if it is not known.
+	Version int64
 }
 
 // setHeader writes the delivery into the header of the request.
@@ -51,6 +56,7 @@
 	h.Set(headerNode, d.Node)
 	h.Set(headerAge, strconv.FormatInt(d.Age.Milliseconds(), 10))
 	h.Set(headerAttempts, strconv.Itoa(d.Attempts))
+	h.Set(headerVersion, strconv.FormatInt(d.Version, 10))
 	h.Del(headerLastEvent)
 	if d.LastEvent != "" {
 		h.Set(headerLastEvent, d.LastEvent)
@@ -67,8 +73,13 @@
 	if err != nil || attempts < 0 {
 		return Delivery{}, fmt.Errorf("%s: %q is not a number", headerAttempts, h.Get(headerAttempts))
 	}
-	d := Delivery{Node: h.Get(headerNode), Age: time.Duration(age) * time.Millisecond, Attempts: attempts, LastEvent: h.Get(headerLastEvent)}
-	for _, k := range []string{headerNode, headerAge, headerAttempts, headerLastEvent} {
+	// Earlier builds name no version.
+	version, err := strconv.ParseInt(cmp.Or(h.Get(headerVersion), "0"), 10, 64)
+	if err != nil || version < 0 {
+		return Delivery{}, fmt.Errorf("%s: %q is not a version", headerVersion, h.Get(headerVersion))
+	}
+	d := Delivery{Node: h.Get(headerNode), Age: time.Duration(age) * time.Millisecond, Attempts: attempts, LastEvent: h.Get(headerLastEvent), Version: version}
+	for _, k := range []string{headerNode, headerAge, headerAttempts, headerLastEvent, headerVersion} {
 		h.Del(k)
 	}
 	return d, nil
