Leave a request to others if a node's configuration lacks its model

What callers would see (by test): 503 and the price of a retry, or with a spent budget the end, for a model that a new version has added, from one other node that had not applied it. Whoever denied a route or key by such a configuration was passed over at no price since; a model was not, since its refusal is a 503.

Cause: the list of reasons by which another node cannot decide lacked unknown_model. Without the fix, "the other node's configuration lacks the model" in TestHandovers: "1 attempts, wanted 2", "failure 503, not_run". The mutant was run and fails.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -76,7 +76,8 @@
 // call: it does not know this one, or has another configuration or none.
 func isPeerRefusal(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale, responder.ReasonNoConfiguration:
+	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale, responder.ReasonNoConfiguration,
+		responder.ReasonUnknownModel:
 		return true
 	}
 	return false
