Keep no status of a promise for an unknown outcome at another node

Cause: the status of another node's failure was passed on from 500 up, whatever its outcome said. Now only the outcome decides: unknown becomes 502, 504 stays. Without the fix, "the other node does not know, with the status of a promise" in TestHandovers: "failure 503, unknown". The mutants of both cases were run and fail.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -84,16 +84,17 @@
 }
 
 // adoptFailure turns a failure of another node into one of this node. This node has admitted the
-// call, so the other one cannot deny it for good.
+// call, so the other one cannot deny it for good, and a status promises only what the outcome says.
 func adoptFailure(c *Call, f *responder.Failure) *responder.Failure {
 	f.RequestID = c.ID
 	switch {
-	case f.Status >= http.StatusInternalServerError:
-	case f.Outcome == responder.NotRun:
+	case f.Outcome != responder.NotRun:
+		if f.Status != http.StatusGatewayTimeout {
+			f.Status = http.StatusBadGateway
+		}
+	case f.Status < http.StatusInternalServerError:
 		f.Message = fmt.Sprintf("another node denies the request with %d, %s", f.Status, f.Message)
 		f.Status, f.Reason, f.RetryAfter = http.StatusServiceUnavailable, responder.ReasonDeniedByPeer, unreachableRetryAfter
-	default:
-		f.Status = http.StatusBadGateway
 	}
 	return f
 }
