Hand what may have run only once to no third node because of a reason

What callers would see (by test; none of the builds so far answers so): a request that may run only once runs twice, when another node says of it both that it may have run and that it has lost the runners. That reason alone sent it on, while each other one also needed "not run".

Cause: the reason of whoever had answered stood for the outcome. Ruled out for today's builds: the reason comes with an unknown outcome only if the other node had meant to send a request again, which it does with what may be repeated; there the retry is paid by it, and a third node still gets it.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -53,7 +53,7 @@
 			return at, nil
 		}
 		at.close()
-		if !isLeftToOthers(failure) || ctx.Err() != nil {
+		if !isLeftToOthers(c, failure) || ctx.Err() != nil {
 			return nil, failure
 		}
 	}
@@ -62,10 +62,10 @@
 
 // isLeftToOthers reports whether another node has not taken a call for a reason that others need
 // not have: it reaches no runner either, stops, or cannot decide on the call.
-func isLeftToOthers(f *responder.Failure) bool {
+func isLeftToOthers(c *Call, f *responder.Failure) bool {
 	switch f.Reason {
 	case responder.ReasonUnreachable:
-		return true
+		return f.Outcome == responder.NotRun || c.Route.IsRepeatable()
 	case responder.ReasonShuttingDown:
 		return f.Outcome == responder.NotRun
 	}
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -155,6 +155,8 @@
 		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
 	case "unknown_503":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: unsure\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
+	case "unknown_unreachable":
+		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: runners_unreachable\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
 	case "unknown_after_two":
 		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 2\r\nContent-Length: 0\r\n")
 	default:
@@ -172,7 +174,7 @@
 // over. Failures of its own have more, and what is no node adds nothing.
 func nodeHeader(q *http.Request, behavior string) string {
 	switch behavior {
-	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "unknown_model", "unreachable", "stopping", "unknown", "unknown_503", "unknown_after_two":
+	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "unknown_model", "unreachable", "stopping", "unknown", "unknown_503", "unknown_unreachable", "unknown_after_two":
 		return ""
 	}
 	if q.Header.Get("X-Delivery-Attempts") == "" {
