Remember over all nodes that a request may have run

What callers would see: 503 with the promise "not run" for a request that may be repeated and may have run. When a node that had taken it over lost the runners midway (outcome unknown, runners_unreachable), the request went to a third node at once, and the refusal of that one was taken for the whole.

Cause: Serve notes unknown outcomes of attempts, but saw only the last one of those that handOver makes in a row. Now each is noted. Without the fix, "it may have run at one node and has not at the next" in TestHandovers: "failure 503, not_run". The mutant was run and fails.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -53,6 +53,7 @@
 			return at, nil
 		}
 		at.close()
+		c.mayHaveRun = c.mayHaveRun || failure.Outcome != responder.NotRun
 		if !isLeftToOthers(c, failure) || ctx.Err() != nil {
 			return nil, failure
 		}
