--- a/internal/node/server/caller_limits.go
+++ b/internal/node/server/caller_limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
 )
 
@@ -15,6 +16,12 @@
 	defaultHeaderBytes = 64 << 10
 	minHeaderBytes     = 4 << 10
 	maxHeaderBytes     = 1 << 20
+	// maxHeadBytes bounds the whole head as it is sent, so that http.Server refuses none that
+	// the limit allows: separators, the line and the host are not counted in that.
+	maxHeadBytes = 2 * maxHeaderBytes
+	// maxDeliveryHeadBytes is the same for heads that another node has written anew, with
+	// fields of its own.
+	maxDeliveryHeadBytes = 2 * maxHeadBytes
 
 	defaultBodyBytes = 8 << 20
 	maxBodyBytes     = 64 << 20
@@ -28,10 +35,45 @@
 	maxIdleTimeout     = 10 * time.Minute
 )
 
-// callerLimits returns the limits for callers that are in force now.
+// lowerLimitDelay is how long a limit that was lowered does not apply yet. It exceeds the time
+// that a configuration needs to come into force at all nodes: until then callers may keep
+// within the older one.
+const lowerLimitDelay = 5 * time.Second
+
+// heldLimits are limits from before some were lowered, in force until a time.
+type heldLimits struct {
+	matcher.Limits
+	until time.Time
+}
+
+// callerLimits returns the limits for callers that are in force now. The idle time is held for
+// each connection, as its caller was told.
 func (n *Node) callerLimits() matcher.Limits {
+	l, held := followedLimits(n.catalog.Load()), n.heldLimits.Load()
+	if held == nil || !time.Now().Before(held.until) {
+		return l
+	}
+	l.HeaderBytes = max(l.HeaderBytes, held.HeaderBytes)
+	l.BodyBytes = max(l.BodyBytes, held.BodyBytes)
+	l.HeaderTimeout = max(l.HeaderTimeout, held.HeaderTimeout)
+	return l
+}
+
+// holdLimits keeps the limits that are in force if the next configuration lowers some.
+func (n *Node) holdLimits(old, next *matcher.Catalog) {
+	if old == nil {
+		return
+	}
+	x, y := followedLimits(old), followedLimits(next)
+	if y.HeaderBytes < x.HeaderBytes || y.BodyBytes < x.BodyBytes || y.HeaderTimeout < x.HeaderTimeout {
+		n.heldLimits.Store(&heldLimits{Limits: n.callerLimits(), until: time.Now().Add(lowerLimitDelay)})
+	}
+}
+
+// followedLimits returns the limits of a configuration, or of none, as the node follows them.
+func followedLimits(c *matcher.Catalog) matcher.Limits {
 	l := matcher.Limits{}
-	if c := n.catalog.Load(); c != nil {
+	if c != nil {
 		l = c.Limits
 	}
 	return matcher.Limits{
@@ -50,25 +92,24 @@
 	return min(max(limit, lowest), highest)
 }
 
-// checkHeader returns the failure for a request whose header is larger than the limit.
-func checkHeader(r *http.Request, id string, l matcher.Limits) *responder.Failure {
+// checkHeader returns the failure for a request whose header is larger than the limit, which
+// follows from a configuration.
+func (n *Node) checkHeader(r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) *responder.Failure {
 	size := headerBytes(r)
 	if size <= l.HeaderBytes {
 		return nil
 	}
-	return &responder.Failure{
-		Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: responder.NotRun, Reason: responder.ReasonHeaderTooLarge, RequestID: id,
-		Message: fmt.Sprintf("the header has %d bytes, more than %d", size, l.HeaderBytes),
-	}
+	message := fmt.Sprintf("the header has %d bytes, more than %d", size, l.HeaderBytes)
+	return n.admitter.Deny(c, in, http.StatusRequestHeaderFieldsTooLarge, responder.ReasonHeaderTooLarge, message)
 }
 
-// headerBytes returns the size of the line and the header of a request.
+// headerBytes returns the size of the names and values of a request's header. Callers may count
+// more, such as separators, the line and the host, but hardly less.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + 2*separators
+	size := 0
 	for k, values := range r.Header {
 		for _, v := range values {
-			size += len(k) + len(v) + separators
+			size += len(k) + len(v)
 		}
 	}
 	return size
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -109,6 +109,7 @@
 	hasRunnerList  atomic.Bool
 	activeRequests atomic.Int64
 	connections    openConnections
+	unhandledLog   unhandledLog
 	indirectProbes indirectProbes
 	runnerSummary  runnerSummary
 	sights         storeSights
@@ -125,6 +126,8 @@
 	storeNodes      atomic.Pointer[storeNodes]
 	// reloadedBounds are the bounds of the last reload; nil means Settings.Bounds.
 	reloadedBounds atomic.Pointer[Bounds]
+	// heldLimits is nil if no limit of callers was lowered.
+	heldLimits atomic.Pointer[heldLimits]
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -152,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	deliveryListener = &watchedListener{Listener: deliveryListener, record: n.recordUnhandled}
 	callers, deliveries := &port{n.callerServer(), callerListener}, &port{n.deliveryServer(), deliveryListener}
 	go serve(readyServer, readyListener, failed)
 	go callers.serve(failed)
@@ -177,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: l, limits: n.callerLimits}, nil
+	return &callerListener{Listener: l, limits: n.callerLimits, record: n.recordUnhandled}, nil
 }
 
 func (n *Node) listen(address string) (net.Listener, error) {
@@ -216,8 +220,7 @@
 	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
-		Replace: func(objects []follower.Object, _ follower.Listing) { n.applyCatalogs(objects) },
-		Update:  n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
+		Replace: n.replaceCatalogs, Update: n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
 	}
 	n.runners = &follower.Follower{
 		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
@@ -230,7 +233,7 @@
 		f.Eras = p.Eras
 		f.OnRestoredList = func(objects []follower.Object, at sequencer.Position) { n.publishList(f.Kind, objects, at) }
 	}
-	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
+	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, MayDeny: n.mayDeny, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
 	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillHeartbeat, OnHeartbeat: n.receiveHeartbeat, OnChanges: n.applyPeerChanges, OnListPart: n.applyPeerList, OnObject: n.receiveObject, OnGrant: n.receiveGrant, Log: n.Log}
 	n.announcer = &announcer.Announcer{
 		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
