Leave a request to others if a node has heard of a newer configuration

Without the fix, "the other node has heard of a newer configuration than its own" in TestHandovers: "1 attempts, wanted 2", "failure 503, not_run". The mutant was run and fails.

--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -77,8 +77,8 @@
 // call: it does not know this one, or has another configuration or none.
 func isPeerRefusal(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale, responder.ReasonNoConfiguration,
-		responder.ReasonUnknownModel:
+	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale,
+		responder.ReasonConfigurationOutdated, responder.ReasonNoConfiguration, responder.ReasonUnknownModel:
 		return true
 	}
 	return false
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -147,6 +147,8 @@
 		_, _ = fmt.Fprintf(c, head, 404, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: unknown_route\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
 	case "old_configuration":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: configuration_stale\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
+	case "newer_configuration":
+		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: configuration_outdated\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
 	case "unknown_model":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: unknown_model\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
 	case "stopping":
@@ -174,7 +176,7 @@
 // over. Failures of its own have more, and what is no node adds nothing.
 func nodeHeader(q *http.Request, behavior string) string {
 	switch behavior {
-	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "unknown_model", "unreachable", "stopping", "unknown", "unknown_503", "unknown_unreachable", "unknown_after_two":
+	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "newer_configuration", "unknown_model", "unreachable", "stopping", "unknown", "unknown_503", "unknown_unreachable", "unknown_after_two":
 		return ""
 	}
 	if q.Header.Get("X-Delivery-Attempts") == "" {
