--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if own := n.catalogVersion(); own < d.Version {
-		n.refuseDelivery(w, r, sender, responder.ReasonConfigurationStale, fmt.Sprintf("this node uses version %d of the configuration, the other one %d", own, d.Version))
+		n.refuseDelivery(w, r, sender, responder.ReasonConfigurationOutdated, fmt.Sprintf("this node uses version %d of the configuration, the other one has used %d", own, d.Version))
 		return
 	}
 	n.serve(w, r, &d)
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -207,7 +207,7 @@
 	}
 	n.observer = n.newObserver()
 	n.Client.Observer = n.observer
-	n.deliverer = &deliverer.Deliverer{Self: s.Name, Peers: n.deliveryPeers, Version: n.catalogVersion, Client: &requester.Client{LocalIP: n.Client.LocalIP}}
+	n.deliverer = &deliverer.Deliverer{Self: s.Name, Peers: n.deliveryPeers, Client: &requester.Client{LocalIP: n.Client.LocalIP}}
 	n.suspects = map[string]time.Time{}
 	n.tracker = &tracker.Tracker{}
 	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Self: s.Name, Suspected: n.recordSuspect}
--- a/internal/peer/deliverer/deliverer.go
+++ b/internal/peer/deliverer/deliverer.go
@@ -59,8 +59,6 @@
 	// Peers returns the nodes that reach runners which can serve a model.
 	Peers  func(service, model string) []Peer
 	Client *requester.Client
-	// Version returns the version of the configuration in use; nil means that it is not known.
-	Version func() int64
 
 	mu sync.Mutex
 	// delivered is the number of requests that are handed over now, by node.
@@ -112,9 +110,6 @@
 // node may have got the request. The response must be closed.
 func (d *Deliverer) Send(ctx context.Context, p Peer, r *requester.Request, about Delivery) (*requester.Response, error) {
 	about.Node = d.Self
-	if d.Version != nil {
-		about.Version = d.Version()
-	}
 	r.Address = p.Address
 	about.setHeader(r.Header)
 	requestsDelivered.Inc()
--- a/internal/peer/deliverer/delivery.go
+++ b/internal/peer/deliverer/delivery.go
@@ -25,7 +25,7 @@
 	headerAttempts = "X-Delivery-Attempts"
 	// headerLastEvent is the ID of the last event of the stream that the caller has.
 	headerLastEvent = "X-Delivery-Last-Event"
-	// headerVersion is the version of the configuration in use there.
+	// headerVersion is the version of the configuration that has admitted the request.
 	headerVersion = "X-Delivery-Version"
 	// headerOutcome and headerReason are those of a failure.
 	headerOutcome = "X-Delivery-Outcome"
@@ -47,7 +47,7 @@
 	Attempts int
 	// LastEvent is the ID of the last event that the caller has, or empty.
 	LastEvent string
-	// Version is the version of the configuration in use there, or 0 if it is not known.
+	// Version is the version of the configuration that has admitted it, or 0 if it is not known.
 	Version int64
 }
 
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -111,7 +111,7 @@
 	request := &requester.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: r.Wire.EndToEnd(c.Header), EchoHeader: r.Wire.Echo,
 	}
-	response, err := r.Peers.Send(at.ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: lastEvent})
+	response, err := r.Peers.Send(at.ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: lastEvent, Version: c.CatalogVersion})
 	if err != nil {
 		return r.peerFailure(at.ctx, c, err)
 	}
