--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -28,25 +29,38 @@
 // serveDelivery serves a request that another node hands over. Only nodes that this one knows are
 // served: those that it has heard of by heartbeats or in the store.
 func (n *Node) serveDelivery(w http.ResponseWriter, r *http.Request) {
+	n.nameRequest(w, r)
 	sender := deliverer.Sender(r.Header)
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil || !n.beater.Knows(sender, host) {
 		n.Log.Warn("request from an unknown node is refused", "address", r.RemoteAddr, "from_node", sender, "known_nodes", n.beater.PeerCount(),
 			"age_ms", time.Since(n.startedAt).Milliseconds())
-		n.refuseDelivery(w, r, responder.ReasonUnknownPeer, "this node does not know the node that hands the request over")
+		n.refuseDelivery(w, r, sender, responder.ReasonUnknownPeer, "this node does not know the node that hands the request over")
 		return
 	}
 	d, err := deliverer.ParseDelivery(r.Header)
 	if err != nil {
-		n.refuseDelivery(w, r, responder.ReasonBadDelivery, err.Error())
+		n.refuseDelivery(w, r, sender, responder.ReasonBadDelivery, err.Error())
+		return
+	}
+	if own := n.catalogVersion(); own < d.Version {
+		n.refuseDelivery(w, r, sender, responder.ReasonConfigurationOutdated, fmt.Sprintf("this node uses version %d of the configuration, the other one has used %d", own, d.Version))
 		return
 	}
 	n.serve(w, r, &d)
 }
 
+// nameRequest names the request in the header of the response, whoever makes it: on a connection
+// that it has used before, the other node takes no response that names none.
+func (n *Node) nameRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(n.Platform.Wire.Echo); id != "" {
+		w.Header().Set(n.Platform.Wire.Echo, id)
+	}
+}
+
 // refuseDelivery refuses a request of another node, which may hand it over to a third one.
-func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, reason responder.Reason, message string) {
-	d := &deliverer.Delivery{Node: deliverer.Sender(r.Header)}
+func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, sender string, reason responder.Reason, message string) {
+	d := &deliverer.Delivery{Node: sender}
 	n.fail(&callerResponse{ResponseWriter: w}, nil, d, &responder.Failure{
 		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: reason, Message: message,
 		RequestID: n.Platform.ParseRequest(r).ID, RetryAfter: refusedDeliveryRetryAfter,
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -91,6 +91,8 @@
 	*Node
 	callers, deliveries *port
 	sends, leftMS       atomic.Int64
+	// version is the version of the configuration that the last request names.
+	version atomic.Value
 }
 
 func (x *stopCase) check(t *testing.T) {
@@ -284,6 +286,9 @@
 func stopWire() *relayer.Wire {
 	return &relayer.Wire{
 		Header: func(c *relayer.Call, _ *tracker.Target, remaining time.Duration, _ string) http.Header {
+			if c.Header.Get("Runner") == "panic" {
+				panic("header")
+			}
 			return http.Header{"Id": {c.ID}, "Runner": {c.Header.Get("Runner")}, "Left": {strconv.FormatInt(remaining.Milliseconds(), 10)}}
 		},
 		Echo: "Id",
@@ -295,12 +300,13 @@
 }
 
 // stopRunner returns a runner that answers at once ("ok"), after slowAnswer ("slow"), never
-// ("silent"), or with events, without end or three.
+// ("silent"), without naming the request ("unnamed"), or with events, without end or three.
 func (n *stoppingNode) stopRunner() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.sends.Add(1)
 		left, _ := strconv.ParseInt(r.Header.Get("Left"), 10, 64)
 		n.leftMS.Store(left)
+		n.version.Store(r.Header.Get("X-Delivery-Version"))
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signed", "1")
@@ -314,6 +320,9 @@
 			return
 		case "ok":
 			return
+		case "unnamed":
+			w.Header().Del("Id")
+			return
 		case "events":
 			events = 1 << 30
 		}
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -53,7 +53,8 @@
 			return at, nil
 		}
 		at.close()
-		if !isLeftToOthers(failure) || ctx.Err() != nil {
+		c.mayHaveRun = c.mayHaveRun || failure.Outcome != responder.NotRun
+		if !isLeftToOthers(c, failure) || ctx.Err() != nil {
 			return nil, failure
 		}
 	}
@@ -62,10 +63,10 @@
 
 // isLeftToOthers reports whether another node has not taken a call for a reason that others need
 // not have: it reaches no runner either, stops, or cannot decide on the call.
-func isLeftToOthers(f *responder.Failure) bool {
+func isLeftToOthers(c *Call, f *responder.Failure) bool {
 	switch f.Reason {
 	case responder.ReasonUnreachable:
-		return true
+		return f.Outcome == responder.NotRun || c.Route.IsRepeatable()
 	case responder.ReasonShuttingDown:
 		return f.Outcome == responder.NotRun
 	}
@@ -76,23 +77,25 @@
 // call: it does not know this one, or has another configuration or none.
 func isPeerRefusal(reason responder.Reason) bool {
 	switch reason {
-	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale, responder.ReasonNoConfiguration:
+	case responder.ReasonUnknownPeer, responder.ReasonBadDelivery, responder.ReasonDeniedByPeer, responder.ReasonConfigurationStale,
+		responder.ReasonConfigurationOutdated, responder.ReasonNoConfiguration, responder.ReasonUnknownModel:
 		return true
 	}
 	return false
 }
 
 // adoptFailure turns a failure of another node into one of this node. This node has admitted the
-// call, so the other one cannot deny it for good.
+// call, so the other one cannot deny it for good, and a status promises only what the outcome says.
 func adoptFailure(c *Call, f *responder.Failure) *responder.Failure {
 	f.RequestID = c.ID
 	switch {
-	case f.Status >= http.StatusInternalServerError:
-	case f.Outcome == responder.NotRun:
+	case f.Outcome != responder.NotRun:
+		if f.Status != http.StatusGatewayTimeout {
+			f.Status = http.StatusBadGateway
+		}
+	case f.Status < http.StatusInternalServerError:
 		f.Message = fmt.Sprintf("another node denies the request with %d, %s", f.Status, f.Message)
 		f.Status, f.Reason, f.RetryAfter = http.StatusServiceUnavailable, responder.ReasonDeniedByPeer, unreachableRetryAfter
-	default:
-		f.Status = http.StatusBadGateway
 	}
 	return f
 }
@@ -108,7 +111,7 @@
 	request := &requester.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: r.Wire.EndToEnd(c.Header), EchoHeader: r.Wire.Echo,
 	}
-	response, err := r.Peers.Send(at.ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: lastEvent})
+	response, err := r.Peers.Send(at.ctx, peer, request, deliverer.Delivery{Age: time.Since(c.Arrived), Attempts: c.attempts, LastEvent: lastEvent, Version: c.CatalogVersion})
 	if err != nil {
 		return r.peerFailure(at.ctx, c, err)
 	}
