--- a/internal/peer/beater/beater.go
+++ b/internal/peer/beater/beater.go
@@ -42,6 +42,8 @@
 	// maxFullHeartbeatNodes is the number of other nodes above which a heartbeat to
 	// another data centre holds only requests in flight at runners there.
 	maxFullHeartbeatNodes = 12
+	// reductionLogInterval is the time between two log lines on heartbeats that are too large.
+	reductionLogInterval = 10 * time.Second
 )
 
 // The first byte of a datagram is its kind.
@@ -52,6 +54,8 @@
 	grantKind   = 5
 	listKind    = 6
 	objectKind  = 7
+	// introductionKind is that of a datagram with the addresses of nodes.
+	introductionKind = 8
 	// echoBytes is the length of the echo that precedes the encoded heartbeat: SentAt and
 	// Start of the last heartbeat that the sender received from this receiver.
 	echoBytes = 16
@@ -61,6 +65,7 @@
 	bytesSent      = metrics.NewCounter(`marjorammoor_beat_bytes_total{direction="sent"}`)
 	bytesReceived  = metrics.NewCounter(`marjorammoor_beat_bytes_total{direction="received"}`)
 	datagramErrors = metrics.NewCounter(`marjorammoor_beat_errors_total`)
+	beatsReduced   = metrics.NewCounter(`marjorammoor_beats_reduced_total`)
 )
 
 // Beater sends and receives heartbeats. Set Self, Fill and Log before use.
@@ -100,14 +105,24 @@
 	addrs   map[string]*net.UDPAddr
 	peers   map[string]*Peer
 	addedAt map[string]time.Time
-	grants  grantLog
+	// waiting are the nodes that get a heartbeat whatever their turn is: those whose address
+	// is new, and those that seem to have received none of this process.
+	waiting map[string]bool
+	// newcomers are the nodes whose processes are new since the last heartbeat.
+	newcomers map[string]bool
+	grants    grantLog
 	// published holds the changes that were published last, by kind.
 	published map[string]follower.Changes
+	// relayed counts the datagrams that were sent by way of other nodes.
+	relayed atomic.Uint64
 	// idle decides which heartbeats that would hold nothing are sent. Only send uses it.
 	idle idleLog
+	// reductionLoggedAt is when a heartbeat was last logged of which facts were left out.
+	reductionLoggedAt time.Time
 }
 
-// AddPeer adds a node to send heartbeats to. It ignores this node's own name.
+// AddPeer adds a node to send heartbeats to. It ignores this node's own name, and the address
+// of a live node, since the list that has it may be older than the node's heartbeats.
 func (b *Beater) AddPeer(name, address string) {
 	if name == b.Self {
 		return
@@ -123,6 +138,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if p, ok := b.peers[name]; ok && p.isLive(time.Now()) {
+		return // its heartbeats show where it is
+	}
 	b.addLocked(name, a)
 }
 
@@ -130,6 +148,7 @@
 func (b *Beater) addLocked(name string, a *net.UDPAddr) {
 	if b.addrs == nil {
 		b.addrs, b.peers, b.addedAt = map[string]*net.UDPAddr{}, map[string]*Peer{}, map[string]time.Time{}
+		b.waiting, b.newcomers = map[string]bool{}, map[string]bool{}
 	}
 	old, ok := b.addrs[name]
 	if ok && old.String() == a.String() {
@@ -137,6 +156,7 @@
 	}
 	b.addrs[name] = a
 	b.addedAt[name] = time.Now()
+	b.waiting[name] = true
 	if ok {
 		b.Log.Info("peer has another address", "peer", name, "address", a.String(), "before", old.String())
 	}
@@ -158,15 +178,20 @@
 
 // Address returns the address from which a node sends heartbeats, as ip:port.
 func (b *Beater) Address(name string) (string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a, ok := b.addrs[name]
+	a, ok := b.peerAddress(name)
 	if !ok {
 		return "", false
 	}
 	return a.String(), true
 }
 
+func (b *Beater) peerAddress(name string) (a *net.UDPAddr, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok = b.addrs[name]
+	return a, ok
+}
+
 // Knows reports whether a node of a name is known to have an IP address, from its heartbeats or
 // from the store.
 func (b *Beater) Knows(name, ip string) bool {
@@ -230,29 +255,39 @@
 
 // destination is a node to send a heartbeat to.
 type destination struct {
+	name    string
 	address *net.UDPAddr
 	// dataCenter is empty until a heartbeat of the node was received.
 	dataCenter string
 	// echo and echoStart are SentAt and Start of the node's last heartbeat.
 	echo      int64
 	echoStart int64
+	// heard is the SentAt of this process that the node's last heartbeat echoes.
+	heard int64
 	// turn spreads the heartbeats to the nodes of a data centre over time.
 	turn uint64
+	// isWaiting is set if the node gets a heartbeat whatever its turn is, and isNew if its
+	// process is new to this node.
+	isWaiting, isNew bool
 }
 
 func (b *Beater) send() {
 	destinations, sequence := b.destinations()
 	plan := newSchedule(destinations, b.DataCenter)
 	isLarge := len(destinations) > maxFullHeartbeatNodes
-	messages := map[string][]byte{}
+	regular, extra := messages{}, messages{}
 	for _, d := range destinations {
-		if !plan.isDue(&d, sequence) {
-			continue
+		if d.isNew && sequence > introduceAfter && b.introduces(d.name, len(destinations)) {
+			b.introduce(&d)
 		}
-		message, ok := messages[d.dataCenter]
-		if !ok {
-			message = b.message(&d, &plan, sequence, isLarge && d.isRemote(b.DataCenter))
-			messages[d.dataCenter] = message
+		limited := isLarge && d.isRemote(b.DataCenter)
+		message := []byte(nil)
+		isDue := plan.isDue(&d, sequence)
+		if isDue {
+			message = regular.get(d.dataCenter, func() []byte { return b.message(&d, &plan, sequence, limited) })
+		}
+		if message == nil && (d.isWaiting || isDue && b.idle.mayExpectSooner(&d)) {
+			message = extra.get(d.dataCenter, func() []byte { return b.extraMessage(&d, &plan, sequence, limited) })
 		}
 		if message == nil {
 			continue
@@ -262,6 +297,19 @@
 	}
 }
 
+// messages are the datagrams of one interval by data centre. One is nil if none is to be sent.
+type messages map[string][]byte
+
+// get returns the datagram to a data centre and makes it if there is none yet.
+func (m messages) get(dataCenter string, build func() []byte) []byte {
+	message, ok := m[dataCenter]
+	if !ok {
+		message = build()
+		m[dataCenter] = message
+	}
+	return message
+}
+
 // message returns the datagram with the next heartbeat to a data centre, or nil if none
 // is to be sent. A limited heartbeat that would hold nothing is sent less often.
 func (b *Beater) message(d *destination, plan *schedule, sequence uint64, limited bool) []byte {
@@ -272,6 +320,18 @@
 		if interval, isDue = b.idle.next(d.dataCenter, sequence, plan.remotePeriod, beat.isEmpty(), b.interval()); !isDue {
 			return nil
 		}
+		b.idle.recordSince(d.dataCenter, beat)
+	}
+	beat.IntervalMS = interval.Milliseconds()
+	return b.encode(beat)
+}
+
+// extraMessage returns the datagram with a heartbeat beside those to a whole data centre.
+func (b *Beater) extraMessage(d *destination, plan *schedule, sequence uint64, limited bool) []byte {
+	beat := b.next(d.dataCenter, sequence, limited)
+	interval := plan.interval(d, b.interval())
+	if limited && beat.isEmpty() {
+		interval *= idlePeriods
 	}
 	beat.IntervalMS = interval.Milliseconds()
 	return b.encode(beat)
@@ -285,10 +345,10 @@
 	b.sequence++
 	to := make([]destination, 0, len(b.addrs))
 	for name, a := range b.addrs {
-		d := destination{address: a, turn: uint64(a.AddrPort().Addr().As4()[3]) + uint64(a.Port)}
+		d := destination{name: name, address: a, turn: uint64(a.AddrPort().Addr().As4()[3]) + uint64(a.Port)}
 		seen := b.addedAt[name]
 		if p, ok := b.peers[name]; ok {
-			d.dataCenter, d.echo, d.echoStart = p.DataCenter, p.SentAt, p.Start
+			d.dataCenter, d.echo, d.echoStart, d.heard = p.DataCenter, p.SentAt, p.Start, p.Echo
 			if p.SeenAt.After(seen) {
 				seen = p.SeenAt
 			}
@@ -297,8 +357,12 @@
 			delete(b.addrs, name)
 			continue
 		}
+		d.isWaiting = b.waiting[name]
+		d.isNew = b.newcomers[name]
 		to = append(to, d)
 	}
+	clear(b.waiting)
+	clear(b.newcomers)
 	return to, b.sequence
 }
 
--- a/internal/peer/beater/beater_test.go
+++ b/internal/peer/beater/beater_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand"
 	"net"
 	"os"
 	"sync"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/store/follower"
 	"marjorammoor/internal/store/sequencer"
 )
@@ -261,6 +263,99 @@
 	}
 }
 
+// TestChangesThatFitOnlyWithoutNamesArrive guards against changes that no node gets because they
+// leave no room for the names of those that they are relayed to.
+func TestChangesThatFitOnlyWithoutNamesArrive(t *testing.T) {
+	const nodes = 20
+	w := wire{}
+	a := w.add(t, "a", "10.0.0.1:1")
+	got := 0
+	for i := range nodes {
+		n := w.add(t, fmt.Sprintf("node-%060d", i), fmt.Sprintf("10.0.1.%d:1", i+1))
+		n.OnChanges = func(follower.Changes) { got++ }
+		n.AddPeer("a", "10.0.0.1:1")
+		n.send()
+	}
+	spec := make([]byte, maxDatagram-150)
+	rand.New(rand.NewSource(1)).Read(spec)
+	a.Publish(follower.Changes{Kind: "k", Since: at(3), At: at(5), Objects: []follower.Object{{Name: "r", At: at(5), Spec: spec}}})
+	if got != nodes {
+		t.Errorf("%d nodes have received the change, want %d", got, nodes)
+	}
+}
+
+// TestOldListMovesNoLiveNode guards against requests and heartbeats that go to the address which a
+// node had before, and against its requests being refused.
+func TestOldListMovesNoLiveNode(t *testing.T) {
+	w := wire{}
+	a, b := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1")
+	b.AddPeer("a", "10.0.0.1:1")
+	b.send()
+	a.AddPeer("b", "10.0.0.9:1")
+	if address, _ := a.Address("b"); address != "10.0.0.2:1" || !a.Knows("b", "10.0.0.2") {
+		t.Errorf("a has %s for b, want the address of its heartbeat", address)
+	}
+	a.peers["b"].SeenAt = time.Now().Add(-minLiveTimeout)
+	a.AddPeer("b", "10.0.0.9:1")
+	if address, _ := a.Address("b"); address != "10.0.0.9:1" {
+		t.Errorf("a has %s for b, want the listed address of a node that is not live", address)
+	}
+}
+
+// TestNodeThatHasJustStartedRelays guards against changes that are lost because the node that
+// relays them has not heard of the others yet.
+func TestNodeThatHasJustStartedRelays(t *testing.T) {
+	w := wire{}
+	a, b, c := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1"), w.add(t, "c", "10.0.0.3:1")
+	got := []follower.Changes{}
+	c.OnChanges = func(x follower.Changes) { got = append(got, x) }
+	a.AddPeer("b", "10.0.0.2:1")
+	b.AddPeer("c", "10.0.0.3:1")
+	packed, err := pack(&follower.Changes{Kind: "k", Since: at(3), At: at(5)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := encodeRelay([]localPeer{{name: "c"}, {name: "unknown"}}, changesKind, packed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, _ := a.peerAddress("b")
+	a.write(message, to)
+	if len(got) != 1 || got[0].At != at(5) {
+		t.Errorf("c has received %+v, want one change", got)
+	}
+}
+
+// TestNodeInTroubleWithAllRunnersIsHeard guards against a node that seems dead because what it
+// knows of 1,900 runners does not fit into a datagram.
+func TestNodeInTroubleWithAllRunnersIsHeard(t *testing.T) {
+	w := wire{}
+	a, b := w.add(t, "a", "10.0.0.1:1"), w.add(t, "b", "10.0.0.2:1")
+	largest := 0
+	transmit := b.Transmit
+	b.Transmit = func(message []byte, to *net.UDPAddr) error {
+		largest = max(largest, len(message))
+		return transmit(message, to)
+	}
+	b.Fill = func(h *Heartbeat, _ string, _ bool) {
+		h.ReachesStore, h.InFlight, h.Unreachable = true, map[string]int{}, map[string]string{}
+		h.Limits, h.LeavingRunners = map[string]balancer.ReportedLimit{}, map[string]int64{}
+		for i := range 1900 {
+			id := fmt.Sprintf("runner-%016x", i)
+			h.InFlight[id], h.Unreachable[id], h.Limits[id], h.LeavingRunners[id] = 1, "10.1.2.3:8300", balancer.ReportedLimit{}, 1<<40
+			h.Quiet, h.Suspects, h.Failing = append(h.Quiet, id), append(h.Suspects, id), append(h.Failing, id)
+		}
+	}
+	b.AddPeer("a", "10.0.0.1:1")
+	b.send()
+	if live := a.Live(); len(live) != 1 || !live[0].ReachesStore || len(live[0].InFlight) != 1900 {
+		t.Errorf("a knows %d live nodes, want b with its requests in flight", len(live))
+	}
+	if largest > maxDatagram {
+		t.Errorf("datagram of %d bytes, want at most %d", largest, maxDatagram)
+	}
+}
+
 // TestPack checks that 300 similar objects fit into one datagram, and that changes
 // over the maximum uncompressed size are rejected, because a receiver would need too
 // much memory to decompress them.
@@ -312,6 +407,7 @@
 	}
 	f.Add(append([]byte{listKind}, part...))
 	f.Add(append([]byte{objectKind}, part...))
+	f.Add([]byte("\x08\xa1\x61a\x6810.0.0.1"))
 	b := &Beater{Self: "self", Log: slog.New(slog.DiscardHandler)}
 	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
 	f.Fuzz(func(_ *testing.T, message []byte) {
--- a/internal/peer/beater/changes.go
+++ b/internal/peer/beater/changes.go
@@ -57,23 +57,31 @@
 }
 
 // sendToLocal sends a datagram to the live nodes of this data centre, to some of them by
-// way of others.
+// way of others. Those that relay change each time, so that what one of them loses while it
+// stops comes with the next datagram.
 func (b *Beater) sendToLocal(kind byte, packed []byte) {
-	for _, group := range relayGroups(b.localPeers()) {
+	for _, group := range relayGroups(rotate(b.localPeers(), b.relayed.Add(1))) {
 		if len(group) == 1 {
-			b.write(append([]byte{kind}, packed...), group[0].address)
+			b.sendToEach(group, kind, packed)
 			continue
 		}
 		message, err := encodeRelay(group[1:], kind, packed)
 		if err != nil {
-			datagramErrors.Inc()
-			b.Log.Error("datagram cannot be encoded for relaying; peers have to read the store", "bytes", len(packed), "error", err)
-			return
+			b.sendToEach(group, kind, packed)
+			continue
 		}
 		b.write(message, group[0].address)
 	}
 }
 
+// sendToEach sends a datagram that is too large to be relayed with the names of its receivers.
+func (b *Beater) sendToEach(group []localPeer, kind byte, packed []byte) {
+	message := append([]byte{kind}, packed...)
+	for _, n := range group {
+		b.write(message, n.address)
+	}
+}
+
 // withPrevious returns changes together with those of the same kind that were published
 // right before them, and remembers them for the next call. Of each object it keeps the
 // newest change.
@@ -120,6 +128,15 @@
 	return list
 }
 
+// rotate returns a list that begins n places later and ends with what was there before.
+func rotate(list []localPeer, n uint64) []localPeer {
+	if len(list) == 0 {
+		return nil
+	}
+	first := n % uint64(len(list))
+	return slices.Concat(list[first:], list[:first])
+}
+
 // relayGroups divides nodes into groups. The first node of each group gets the changes
 // from the sender and relays them to the rest of the group.
 func relayGroups(list []localPeer) [][]localPeer {
@@ -221,12 +238,13 @@
 	return nil
 }
 
-// relay sends the content of a relayMessage to those of its nodes that are live.
+// relay sends the content of a relayMessage to those of its nodes whose address is known,
+// whether or not this node has heard of them since its start.
 func (b *Beater) relay(r *relayMessage) {
 	message := append([]byte{r.Kind}, r.Packed...)
-	for _, n := range b.localPeers() {
-		if slices.Contains(r.To, n.name) {
-			b.write(message, n.address)
+	for _, name := range r.To {
+		if a, ok := b.peerAddress(name); ok {
+			b.write(message, a)
 		}
 	}
 }
