Let only answers of a runner keep requests away from it

TestOnlyARunnerAsksToBeLeft without the fix: "unsigned: left true, paused true, want false", and the same for bare_403. The mutant was run and fails.

--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -169,9 +169,10 @@
 }
 
 // recordAsked records what a runner's response asks of its callers: that they stay away, for a
-// while or for good, or keep to a limit. A response that names no limit lifts it.
+// while or for good, or keep to a limit. A response that names no limit lifts it. One that shows
+// nothing of the runner, neither its signature nor its refusal, asks for nothing.
 func (r *Relayer) recordAsked(slot *balancer.Slot, inspection Inspection) {
-	if inspection.Misdirected {
+	if inspection.Misdirected || !inspection.Verified && !inspection.NotRun {
 		return
 	}
 	if inspection.Leaving && r.Leaving != nil {
