--- a/internal/fleet/former/world_controller_test.go
+++ b/internal/fleet/former/world_controller_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -15,10 +14,12 @@
 	"marjorammoor/internal/store/sequencer"
 )
 
+// position returns the store's position.
 func (w *world) position() sequencer.Position {
 	return sequencer.Position{Era: w.era, Revision: w.revision}
 }
 
+// store returns a store that holds the simulated domain's assignment and names its era.
 func (w *world) store(i int, eras *sequencer.Eras) *follower.Store {
 	write := func(_ context.Context, o follower.Object) (sequencer.Position, error) {
 		time.Sleep(4 * time.Millisecond)
@@ -79,6 +80,7 @@
 	}
 }
 
+// controller returns the i-th controller and starts to update its view.
 func (w *world) controller(i int) *Controller {
 	tr := &tracker.Tracker{}
 	tr.SetServices(w.services)
@@ -174,10 +176,11 @@
 		IsStartup:          func() bool { return time.Since(w.start) < 8*time.Second },
 		LoadsPerWindow:     func() float64 { return 27 },
 		StallTime:          func() time.Duration { return 4 * time.Second },
-		Log:                slog.New(slog.DiscardHandler),
+		Log:                w.log.With("node", i),
 	}
 }
 
+// owns reports whether the i-th controller currently owns the domain.
 func (w *world) owns(i int) bool {
 	if w.scenario.HandOverEvery == 0 {
 		return true
@@ -187,6 +190,8 @@
 	return turn%w.scenario.Controllers == i
 }
 
+// suspects returns the heads that stall: those of open replicas that lost a member
+// or are cut off.
 func (w *world) suspects() map[string]bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/fleet/former/world_faults_test.go
+++ b/internal/fleet/former/world_faults_test.go
@@ -1,12 +1,14 @@
 package former
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
 	"marjorammoor/internal/serving/tracker"
 )
 
+// injectFaults injects the scenario's faults for one tick of 0.1 s.
 func (w *world) injectFaults() {
 	chance := func(every float64) bool { return every > 0 && w.rand.Float64() < 0.1/every }
 	ids := []string{}
@@ -47,6 +49,7 @@
 	w.injectLosses(chance)
 }
 
+// keepCopy keeps what the store holds now.
 func (w *world) keepCopy() {
 	if w.scenario.RestoreEvery == 0 {
 		return
@@ -58,6 +61,8 @@
 	w.copies = append(w.copies, c)
 }
 
+// restoreStore has the store go back to a copy. The runners write their entries again
+// one after the other.
 func (w *world) restoreStore() {
 	i := len(w.copies) - 1
 	for i > 0 && time.Since(w.copies[i].at).Seconds() < w.scenario.RestoreBack {
@@ -67,12 +72,15 @@
 	w.object, w.revision = c.object, c.revision
 	w.era++
 	w.copies = w.copies[:i+1]
+	w.log.Info("store restored", "era", w.era, "copy_of_s", fmt.Sprintf("%.1f", c.at.Sub(w.start).Seconds()), "assignment", string(c.object))
 	for _, v := range w.vms {
 		v.restored = c.runners[v.id]
 		v.restoredUntil = time.Now().Add(time.Duration(w.rand.IntN(2000)) * time.Millisecond)
 	}
 }
 
+// lapseEntry removes a VM from the list for 5 s, as if it had lost contact with the
+// store.
 func (w *world) lapseEntry(v *vm) {
 	if w.scenario.LapseMembersOnly && (v.rank == 0 || v.memberState != tracker.MemberReady) {
 		return
@@ -86,6 +94,8 @@
 	}()
 }
 
+// leaveUnannounced removes a VM from the list and makes it refuse connections. It
+// stops some seconds later.
 func (w *world) leaveUnannounced(v *vm) {
 	v.listed, v.refuses = false, true
 	boot := v.bootTime
@@ -100,7 +110,10 @@
 	}()
 }
 
+// crash stops a VM. Its entry expires after 3.6 s, and the VM restarts after
+// ReturnAfter.
 func (w *world) crash(v *vm) {
+	w.log.Info("crashed", "runner", v.id)
 	v.alive = false
 	boot := v.bootTime
 	go func() {
@@ -122,6 +135,8 @@
 	}()
 }
 
+// cutOff separates the domain from the store and the controllers. Its entries expire
+// one after the other and return the same way after CutSeconds.
 func (w *world) cutOff() {
 	w.isCutOff = true
 	for _, v := range w.vms {
--- a/internal/fleet/former/world_runner_test.go
+++ b/internal/fleet/former/world_runner_test.go
@@ -10,6 +10,7 @@
 	"marjorammoor/internal/serving/tracker"
 )
 
+// runners returns the entries of the domain's runners in the store.
 func (w *world) runners() []*tracker.Runner {
 	list := []*tracker.Runner{}
 	for _, v := range w.vms {
@@ -35,10 +36,13 @@
 	return list
 }
 
+// writtenRunners returns the entries that runners have written since the store was last
+// restored.
 func (w *world) writtenRunners() []*tracker.Runner {
 	return slices.DeleteFunc(w.runners(), func(r *tracker.Runner) bool { return time.Now().Before(w.vms[r.ID].restoredUntil) })
 }
 
+// send delivers an order now, with a delay, or not at all.
 func (w *world) send(ctx context.Context, o Order) Result {
 	time.Sleep(2 * time.Millisecond)
 	w.mu.Lock()
@@ -64,7 +68,16 @@
 	return w.apply(v, o)
 }
 
+// apply carries an order out on a runner.
 func (w *world) apply(v *vm, o Order) Result {
+	fence := v.fence
+	result := w.carryOut(v, o)
+	w.log.Info("order carried out", "operation", o.Operation, "runner", v.id, "replica", o.Replica, "epoch", o.Epoch, "fence", o.Fence,
+		"seen_fence", fence, "started_ms", v.bootTime-w.start.UnixMilli(), "result", result)
+	return result
+}
+
+func (w *world) carryOut(v *vm, o Order) Result {
 	if !v.alive {
 		return NoAnswer
 	}
@@ -84,7 +97,10 @@
 			return Conflict
 		}
 		w.checkOpen(v)
-		w.after(v, 300*time.Millisecond, func() { v.memberState = tracker.MemberOpen })
+		w.after(v, 300*time.Millisecond, func() {
+			v.memberState = tracker.MemberOpen
+			w.log.Info("opened", "replica", v.replica, "head", v.id, "members", v.members)
+		})
 		return Accepted
 	case Close:
 		if v.replica == o.Replica && v.epoch == o.Epoch && v.memberState == tracker.MemberOpen {
@@ -101,6 +117,8 @@
 	return Rejected
 }
 
+// after runs a change after a delay, unless the runner has restarted or changed its
+// membership meanwhile.
 func (w *world) after(v *vm, d time.Duration, change func()) {
 	bootTime, replica, epoch := v.bootTime, v.replica, v.epoch
 	go func() {
@@ -122,6 +140,8 @@
 	return nil
 }
 
+// join carries out a join order. It adds a violation if the head of the runner's
+// current replica is another VM that still serves.
 func (w *world) join(v *vm, o Order) Result {
 	if o.Epoch < v.maxEpoch || v.replica == o.Replica && v.epoch == o.Epoch && !slices.Equal(v.members, o.Members) {
 		return Fenced
@@ -149,6 +169,8 @@
 	return Accepted
 }
 
+// checkOpen adds a violation if a head opens without all members or with one that
+// was never ready in the replica.
 func (w *world) checkOpen(head *vm) {
 	if size := w.model(head.models[0]).Size; len(head.members) != size {
 		w.addViolation("%s opens with %d members of %d", head.replica, len(head.members), size)
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -7,6 +7,8 @@
 	"marjorammoor/internal/serving/tracker"
 )
 
+// scenario is one entry of testdata/worlds.json: the faults that are injected into
+// one simulated domain while controllers form and repair its replicas.
 type scenario struct {
 	Name        string `json:"name"`
 	Runners     int    `json:"runners"`
@@ -82,6 +84,8 @@
 	MaxOpenOf map[string]float64 `json:"max_open_of"`
 }
 
+// vm is the actual state of a simulated runner, as opposed to its entry in the
+// store.
 type vm struct {
 	id          string
 	bootTime    int64
@@ -116,6 +120,7 @@
 	stalledSince time.Time
 }
 
+// storeCopy is what the store held at a time.
 type storeCopy struct {
 	at       time.Time
 	object   json.RawMessage
--- a/internal/fleet/former/world_test.go
+++ b/internal/fleet/former/world_test.go
@@ -1,9 +1,11 @@
 package former
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -15,18 +17,7 @@
 	"marjorammoor/internal/serving/tracker"
 )
 
-// scenario is one entry of testdata/worlds.json: the faults that are injected into
-
-// one simulated domain while controllers form and repair its replicas.
-
-// vm is the actual state of a simulated runner, as opposed to its entry in the
-
-// store.
-
-// storeCopy is what the store held at a time.
-
 // world simulates a domain with its VMs and its store.
-
 type world struct {
 	mu         sync.Mutex
 	t          *testing.T
@@ -46,6 +37,9 @@
 	start  time.Time
 	// violations describe broken invariants.
 	violations []string
+	// log records what happened for a run that fails, in trace.
+	log   *slog.Logger
+	trace *bytes.Buffer
 	// openTicks counts the ticks in which a replica of a model was open; ticks
 	// counts all.
 	openTicks map[string]int
@@ -71,8 +65,9 @@
 	w := &world{
 		t: t, scenario: s, rand: rand.New(rand.NewPCG(seed, 7)), vms: map[string]*vm{}, engine: engine, start: time.Now(),
 		era: 1, openTicks: map[string]int{}, services: map[string]*matcher.Service{"pool": {Name: "pool", Engine: engine}},
-		nodeCutUntil: map[int]time.Time{}, epochs: map[int64]string{},
+		nodeCutUntil: map[int]time.Time{}, epochs: map[int64]string{}, trace: &bytes.Buffer{},
 	}
+	w.log = newLog(w.trace, w.start)
 	for range s.Runners {
 		w.addVM()
 	}
@@ -86,76 +81,27 @@
 	return w
 }
 
+func newLog(b *bytes.Buffer, start time.Time) *slog.Logger {
+	inSeconds := func(_ []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.TimeKey {
+			return slog.String("s", fmt.Sprintf("%.3f", a.Value.Time().Sub(start).Seconds()))
+		}
+		return a
+	}
+	return slog.New(slog.NewTextHandler(b, &slog.HandlerOptions{ReplaceAttr: inSeconds}))
+}
+
 func (w *world) addVM() {
 	w.lastNumber++
 	id := fmt.Sprintf("vm-%02d", w.lastNumber)
 	w.vms[id] = &vm{id: id, bootTime: time.Now().UnixMilli(), alive: true, state: tracker.Ready, listed: true, wasReady: map[string]bool{}}
 }
 
-// runners returns the entries of the domain's runners in the store.
-
-// writtenRunners returns the entries that runners have written since the store was last
-
-// restored.
-
 func (w *world) addViolation(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("%6.2f s: ", time.Since(w.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// send delivers an order now, with a delay, or not at all.
-
-// apply carries an order out on a runner.
-
-// after runs a change after a delay, unless the runner has restarted or changed its
-
-// membership meanwhile.
-
-// join carries out a join order. It adds a violation if the head of the runner's
-
-// current replica is another VM that still serves.
-
-// checkOpen adds a violation if a head opens without all members or with one that
-
-// was never ready in the replica.
-
-// position returns the store's position.
-
-// store returns a store that holds the simulated domain's assignment and names its era.
-
-// controller returns the i-th controller and starts to update its view.
-
-// owns reports whether the i-th controller currently owns the domain.
-
-// suspects returns the heads that stall: those of open replicas that lost a member
-
-// or are cut off.
-
-// injectFaults injects the scenario's faults for one tick of 0.1 s.
-
-// keepCopy keeps what the store holds now.
-
-// restoreStore has the store go back to a copy. The runners write their entries again
-
-// one after the other.
-
-// lapseEntry removes a VM from the list for 5 s, as if it had lost contact with the
-
-// store.
-
-// leaveUnannounced removes a VM from the list and makes it refuse connections. It
-
-// stops some seconds later.
-
-// crash stops a VM. Its entry expires after 3.6 s, and the VM restarts after
-
-// ReturnAfter.
-
-// cutOff separates the domain from the store and the controllers. Its entries expire
-
-// one after the other and return the same way after CutSeconds.
-
 // countOpen counts the tick for each model with an open replica.
-
 func (w *world) countOpen() {
 	w.ticks++
 	found := map[string]bool{}
@@ -170,9 +116,7 @@
 }
 
 // run starts the controllers and, after 12 s, the faults. After the scenario it
-
 // waits for delayed orders and faults to end.
-
 func (w *world) run() {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	defer cancel()
@@ -204,11 +148,8 @@
 }
 
 // TestWorlds runs the scenarios of testdata/worlds.json with many seeds. It checks
-
 // that no replica opens without all its members and that no member is taken from a
-
 // replica that may still serve.
-
 func TestWorlds(t *testing.T) {
 	b, err := os.ReadFile("testdata/worlds.json")
 	if err != nil {
@@ -236,6 +177,11 @@
 	for _, x := range w.violations {
 		t.Errorf("seed %d: %s", seed, x)
 	}
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d:\n%s", seed, w.trace)
+		}
+	}()
 	for _, m := range w.engine.Models {
 		minOpen, ok := s.MinOpenOf[m.Name]
 		if !ok {
