--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -80,12 +81,12 @@
 			s.addReachabilityProbes(d, add)
 		}
 	}
-	for id := range s.unlistedMisses {
+	for _, id := range slices.Sorted(maps.Keys(s.unlistedMisses)) {
 		if m, ok := s.findMember(id); ok {
 			add(m)
 		}
 	}
-	for id := range s.dead {
+	for _, id := range slices.Sorted(maps.Keys(s.dead)) {
 		if m, ok := s.findMember(id); ok {
 			add(m)
 		}
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -68,6 +68,10 @@
 	AwaySeconds float64 `json:"away_s"`
 	// IsMixed draws by the seed which of the faults there are, and the number of runners.
 	IsMixed bool `json:"mixed"`
+	// Script are faults at fixed times, beside the random ones.
+	Script []scriptedFault `json:"script"`
+	// Late are orders that get no answer and are carried out late, beside the random ones.
+	Late []lateOrders `json:"late"`
 	// CalmSeconds are the last seconds without new faults. After them, repair must have ended.
 	CalmSeconds float64 `json:"calm_s"`
 	// MinOpen is the minimum share of the time during which at least one replica of
@@ -79,11 +83,31 @@
 	Elsewhere []string `json:"elsewhere"`
 	// MinOpenOf overrides MinOpen for some models.
 	MinOpenOf map[string]float64 `json:"min_open_of"`
+	// MinMeanOpenOf is the same as MinOpenOf for the mean of all seeds. A single run may draw many
+	// faults in a row.
+	MinMeanOpenOf map[string]float64 `json:"min_mean_open_of"`
 	// MaxOpenOf is the maximum share of the time for models that the domain should
 	// no longer serve.
 	MaxOpenOf map[string]float64 `json:"max_open_of"`
 }
 
+// scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, or the
+// store is restored.
+type scriptedFault struct {
+	At      float64 `json:"at_s"`
+	Lapse   string  `json:"lapse"`
+	Restore bool    `json:"restore"`
+}
+
+// lateOrders are the orders to a runner, or to all, that are sent between two times.
+type lateOrders struct {
+	From   float64 `json:"from_s"`
+	To     float64 `json:"to_s"`
+	Runner string  `json:"runner"`
+	// Delay is in seconds.
+	Delay float64 `json:"delay_s"`
+}
+
 // vm is the actual state of a simulated runner, as opposed to its entry in the
 // store.
 type vm struct {
