A claim goes on forming no replica: an order of a lost assignment may still take its members

What a runner saw: it joined another group while the head of its group was open (TWO), some seconds after the store had come back from an older copy. Cause: a claim took over replicas that were forming and complete, from the restored assignment or from the runners alone. An assignment that the store has lost may have ended such a replica and ordered its members to join others, and these orders are carried out up to 12 s later, at members that have seen no higher epoch. Its head was opened all the same. Ruled out: that raising the fence of all members would be needed for open replicas too; nothing opens a head but an order for a forming replica. Why it works: the head leaves before its members are free, and the next join of each member has an epoch of the new era, below which it refuses all joins.

--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -91,8 +91,9 @@
 
 // claimed returns the assignment as claimed in an era. Its epoch is above all that the
 // assignment or a runner has, or that were used in earlier eras. It keeps the replicas
-// of the assignment and adds those that only the runners know. A replica that was forming
-// and is not complete is closed: another node may since have formed others.
+// of the assignment and adds those that only the runners know. A replica that is not open is
+// closed, even if it is complete: a lost assignment may have ended it and ordered its members to
+// join others, and such an order may still be carried out.
 func (a Assignment) claimed(era int64, runners []*tracker.Runner, models []matcher.Model) Assignment {
 	next := a
 	next.Era = era
@@ -107,7 +108,7 @@
 	next.Replicas = nil
 	for _, r := range a.Replicas {
 		k := replicaKey{r.Name, r.Epoch}
-		if r.State == Forming && len(groups[k]) < len(r.Members) {
+		if r.State == Forming {
 			r.State, r.MayOpen = Closing, true
 		}
 		next.Replicas = append(next.Replicas, r)
@@ -168,10 +169,10 @@
 	switch {
 	case isComplete && head.Membership.State == tracker.MemberOpen:
 		r.State = Open
-	case isComplete && !isServing && head.Membership.State != tracker.MemberBroken:
-		r.State = Forming
-	case isComplete:
-		r.Graceful = true
+	case isServing:
+		r.Graceful = isComplete
+	default:
+		r.MayOpen = true
 	}
 	return r, isComplete || isServing
 }
