A head of a lost replica that may open late leaves before its members are free

Cause: a claim counted the members of a replica that only the runners know as free if one of them lacked, also when the head was ready. The lost assignment may have ordered that head to open, and the order is carried out late: the head opens while its members join others. Why it works: the replica is taken over as closing; its head leaves with an epoch of the new era, and its members are held until then.

--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -152,8 +152,8 @@
 }
 
 // adoptedReplica returns a replica that the store has lost, from the runners that belong
-// to it. It returns false if the runners are free: the head does not serve, and not all
-// members are there.
+// to it. It returns false if the runners are free: not all members are there, and the head neither
+// serves nor is ready, so that no order to open it may be on its way.
 func adoptedReplica(k replicaKey, members []*tracker.Runner, models []matcher.Model) (Replica, bool) {
 	head := members[0]
 	if head.Membership.Rank != 0 || len(head.Models) == 0 {
@@ -174,5 +174,5 @@
 	default:
 		r.MayOpen = true
 	}
-	return r, isComplete || isServing
+	return r, isComplete || isServing || head.Membership.State == tracker.MemberReady
 }
--- a/internal/fleet/former/world_faults_test.go
+++ b/internal/fleet/former/world_faults_test.go
@@ -57,6 +57,9 @@
 		if f.Lapse != "" {
 			w.lapseEntry(w.vms[f.Lapse])
 		}
+		if f.Crash != "" {
+			w.crash(w.vms[f.Crash])
+		}
 		if f.Restore {
 			w.restoreStore()
 		}
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -91,11 +91,12 @@
 	MaxOpenOf map[string]float64 `json:"max_open_of"`
 }
 
-// scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, or the
-// store is restored.
+// scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, the runner
+// Crash crashes, or the store is restored.
 type scriptedFault struct {
 	At      float64 `json:"at_s"`
 	Lapse   string  `json:"lapse"`
+	Crash   string  `json:"crash"`
 	Restore bool    `json:"restore"`
 }
 
