--- a/internal/fleet/former/world_controller_test.go
+++ b/internal/fleet/former/world_controller_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,10 +15,12 @@
 	"marjorammoor/internal/store/sequencer"
 )
 
+// position returns the store's position.
 func (w *world) position() sequencer.Position {
 	return sequencer.Position{Era: w.era, Revision: w.revision}
 }
 
+// store returns a store that holds the simulated domain's assignment and names its era.
 func (w *world) store(i int, eras *sequencer.Eras) *follower.Store {
 	write := func(_ context.Context, o follower.Object) (sequencer.Position, error) {
 		time.Sleep(4 * time.Millisecond)
@@ -33,7 +35,7 @@
 		}
 		w.revision++
 		w.object = slices.Clone(o.Spec)
-		if !w.isCalm() && w.rand.Float64() < w.scenario.LostShare {
+		if !w.isCalm() && w.drawAt("write", strconv.Itoa(i)).Float64() < w.scenario.LostShare {
 			return o.At, context.DeadlineExceeded
 		}
 		if !o.At.IsZero() && o.At.Era != w.era {
@@ -79,6 +81,7 @@
 	}
 }
 
+// controller returns the i-th controller and starts to update its view.
 func (w *world) controller(i int) *Controller {
 	tr := &tracker.Tracker{}
 	tr.SetServices(w.services)
@@ -88,6 +91,7 @@
 	viewAt := time.Duration(0)
 	mu := sync.Mutex{}
 	go func() {
+		time.Sleep(stagger(i) / 2)
 		listedEra, restoredAt := int64(0), time.Time{}
 		grace := lapseGrace{}
 		for time.Since(w.start) < time.Duration(w.scenario.Seconds)*time.Second {
@@ -120,7 +124,7 @@
 			mu.Lock()
 			viewAt = listedAt
 			mu.Unlock()
-			time.Sleep(time.Duration(150+100*i) * time.Millisecond)
+			time.Sleep(time.Duration(150+100*i)*time.Millisecond + stagger(i)/3)
 		}
 	}()
 	return &Controller{
@@ -174,10 +178,11 @@
 		IsStartup:          func() bool { return time.Since(w.start) < 8*time.Second },
 		LoadsPerWindow:     func() float64 { return 27 },
 		StallTime:          func() time.Duration { return 4 * time.Second },
-		Log:                slog.New(slog.DiscardHandler),
+		Log:                w.log.With("node", i),
 	}
 }
 
+// owns reports whether the i-th controller currently owns the domain.
 func (w *world) owns(i int) bool {
 	if w.scenario.HandOverEvery == 0 {
 		return true
@@ -187,6 +192,8 @@
 	return turn%w.scenario.Controllers == i
 }
 
+// suspects returns the heads that stall: those of open replicas that lost a member
+// or are cut off.
 func (w *world) suspects() map[string]bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/fleet/former/world_runner_test.go
+++ b/internal/fleet/former/world_runner_test.go
@@ -10,9 +10,10 @@
 	"marjorammoor/internal/serving/tracker"
 )
 
+// runners returns the entries of the domain's runners in the store.
 func (w *world) runners() []*tracker.Runner {
 	list := []*tracker.Runner{}
-	for _, v := range w.vms {
+	for _, v := range w.sorted() {
 		if time.Now().Before(v.restoredUntil) {
 			if v.restored != nil {
 				list = append(list, v.restored)
@@ -35,17 +36,25 @@
 	return list
 }
 
+// writtenRunners returns the entries that runners have written since the store was last
+// restored.
 func (w *world) writtenRunners() []*tracker.Runner {
 	return slices.DeleteFunc(w.runners(), func(r *tracker.Runner) bool { return time.Now().Before(w.vms[r.ID].restoredUntil) })
 }
 
+// send delivers an order now, with a delay, or not at all.
 func (w *world) send(ctx context.Context, o Order) Result {
-	time.Sleep(2 * time.Millisecond)
+	// Two orders to a runner do not arrive at the same time.
+	time.Sleep(2*time.Millisecond + time.Duration(len(o.Operation))*time.Microsecond)
 	w.mu.Lock()
 	v := w.vms[o.Runner.ID]
 	reachable := v != nil && v.alive && !v.refuses && w.isReached(v)
-	late := reachable && !w.isCalm() && w.rand.Float64() < w.scenario.LateShare
-	delay := time.Duration(2000+w.rand.IntN(10000)) * time.Millisecond
+	draw := w.drawAt(o.Runner.ID, string(o.Operation), o.Replica)
+	late := reachable && !w.isCalm() && draw.Float64() < w.scenario.LateShare
+	delay := time.Duration(2000+draw.IntN(10000)) * time.Millisecond
+	if d := w.lateBy(o); d > 0 {
+		late, delay = reachable, d
+	}
 	w.mu.Unlock()
 	if late {
 		go func() {
@@ -59,12 +68,23 @@
 		<-ctx.Done()
 		return NoAnswer
 	}
+	// Neither do two orders to different runners, of which one may be the other's head.
+	time.Sleep(time.Duration(v.number) * time.Microsecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.apply(v, o)
 }
 
+// apply carries an order out on a runner.
 func (w *world) apply(v *vm, o Order) Result {
+	fence := v.fence
+	result := w.carryOut(v, o)
+	w.log.Info("order carried out", "operation", o.Operation, "runner", v.id, "replica", o.Replica, "epoch", o.Epoch, "fence", o.Fence,
+		"seen_fence", fence, "started_ms", v.bootTime-w.start.UnixMilli(), "result", result)
+	return result
+}
+
+func (w *world) carryOut(v *vm, o Order) Result {
 	if !v.alive {
 		return NoAnswer
 	}
@@ -84,7 +104,10 @@
 			return Conflict
 		}
 		w.checkOpen(v)
-		w.after(v, 300*time.Millisecond, func() { v.memberState = tracker.MemberOpen })
+		w.after(v, 300*time.Millisecond, func() {
+			v.memberState = tracker.MemberOpen
+			w.log.Info("opened", "replica", v.replica, "head", v.id, "members", v.members)
+		})
 		return Accepted
 	case Close:
 		if v.replica == o.Replica && v.epoch == o.Epoch && v.memberState == tracker.MemberOpen {
@@ -101,6 +124,8 @@
 	return Rejected
 }
 
+// after runs a change after a delay, unless the runner has restarted or changed its
+// membership meanwhile.
 func (w *world) after(v *vm, d time.Duration, change func()) {
 	bootTime, replica, epoch := v.bootTime, v.replica, v.epoch
 	go func() {
@@ -122,6 +147,8 @@
 	return nil
 }
 
+// join carries out a join order. It adds a violation if the head of the runner's
+// current replica is another VM that still serves.
 func (w *world) join(v *vm, o Order) Result {
 	if o.Epoch < v.maxEpoch || v.replica == o.Replica && v.epoch == o.Epoch && !slices.Equal(v.members, o.Members) {
 		return Fenced
@@ -149,6 +176,8 @@
 	return Accepted
 }
 
+// checkOpen adds a violation if a head opens without all members or with one that
+// was never ready in the replica.
 func (w *world) checkOpen(head *vm) {
 	if size := w.model(head.models[0]).Size; len(head.members) != size {
 		w.addViolation("%s opens with %d members of %d", head.replica, len(head.members), size)
