Try no more nodes of a data centre once three of it could not be connected

Cause: heartbeats from before the cut count as fresh for their interval and 0.4 s, up to 2.2 s at 195 nodes.

Change: failed connections to three nodes of a data centre with no response from there since count for all of it, for a second at a time. Unknown outcomes do not count, and a response ends it. Ruled out: a shorter age for heartbeats, since idle nodes of other data centres send one every 1.8 s by design. Before: "20 nodes beyond the cut were tried, want 3 and no more". The mutant fails.

--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		list = append(list, deliverer.Peer{
-			Name: p.Node, Address: address, IsRemote: p.DataCenter != n.Settings.DataCenter, Evidence: evidence, Load: inFlight(&p.Heartbeat),
+			Name: p.Node, Address: address, DataCenter: p.DataCenter, IsRemote: p.DataCenter != n.Settings.DataCenter, Evidence: evidence, Load: inFlight(&p.Heartbeat),
 			Age: p.Age(), HeartbeatAge: now.Sub(p.SeenAt),
 		})
 	}
--- a/internal/peer/deliverer/deliverer.go
+++ b/internal/peer/deliverer/deliverer.go
@@ -17,6 +17,9 @@
 const (
 	// avoidTime is how long a node gets no requests after one could not be handed over to it.
 	avoidTime = time.Second
+	// maxMisses is the number of nodes of a data centre that may fail to be connected, with no
+	// response of another one since, before none of them is tried for avoidTime.
+	maxMisses = 3
 	// remoteFactor is how much the load of a node of another data centre counts.
 	remoteFactor = 2
 )
@@ -40,7 +43,8 @@
 type Peer struct {
 	Name string
 	// Address is where it takes requests from other nodes, as ip:port.
-	Address string
+	Address    string
+	DataCenter string
 	// IsRemote is set if the node is in another data centre.
 	IsRemote bool
 	// Evidence speaks for the node reaching runners that this one does not reach.
@@ -65,6 +69,10 @@
 	delivered map[string]int
 	// avoidedUntil is until when a node gets no requests.
 	avoidedUntil map[string]time.Time
+	// missed are the nodes that could not be connected, by data centre, since a node there has
+	// responded. cutUntil is until when a data centre gets no requests.
+	missed   map[string]map[string]bool
+	cutUntil map[string]time.Time
 }
 
 // HasPeer reports whether another node can take a request for a model of a service.
@@ -83,7 +91,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := slices.DeleteFunc(d.Peers(service, model), func(p Peer) bool {
-		return now.Before(d.avoidedUntil[p.Name]) || slices.Contains(tried, p.Name)
+		return now.Before(d.avoidedUntil[p.Name]) || now.Before(d.cutUntil[p.DataCenter]) || slices.Contains(tried, p.Name)
 	})
 	if len(list) == 0 {
 		return Peer{}, false
@@ -114,9 +122,15 @@
 	about.setHeader(r.Header)
 	requestsDelivered.Inc()
 	response, err := d.Client.Do(ctx, r)
+	if err == nil {
+		d.recordResponse(p)
+	}
 	if err != nil && ctx.Err() == nil {
 		d.Avoid(p)
 	}
+	if err != nil && ctx.Err() == nil && !requester.MaySent(err) {
+		d.recordMiss(p)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("hand over to %s: %w", p.Name, err)
 	}
@@ -150,3 +164,27 @@
 	}
 	d.avoidedUntil[p.Name] = time.Now().Add(avoidTime)
 }
+
+// recordMiss records that a node could not be connected. Its data centre may be cut off, although
+// the last heartbeats from there are recent.
+func (d *Deliverer) recordMiss(p Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.missed == nil {
+		d.missed, d.cutUntil = map[string]map[string]bool{}, map[string]time.Time{}
+	}
+	if d.missed[p.DataCenter] == nil {
+		d.missed[p.DataCenter] = map[string]bool{}
+	}
+	d.missed[p.DataCenter][p.Name] = true
+	if len(d.missed[p.DataCenter]) >= maxMisses {
+		d.cutUntil[p.DataCenter] = time.Now().Add(avoidTime)
+	}
+}
+
+func (d *Deliverer) recordResponse(p Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.missed, p.DataCenter)
+	delete(d.cutUntil, p.DataCenter)
+}
