Take the end of a header for no empty line in front of a request

What callers would see: 400, or a connection that ends without an answer, for a proper request whose header came partly with the request before, if what was left began with its empty line.

Cause: skips empty lines that arrive on an idle connection. But the server may hold the beginning of the next request already, and the connection is idle for a moment between the two.

Change: empty lines are skipped only if the server has got nothing yet, or last the end of a header, so that it holds no part of one. After a body http.Server skips them itself where it did before.

--- a/internal/node/server/caller_conn.go
+++ b/internal/node/server/caller_conn.go
@@ -23,6 +23,8 @@
 	// lastReadTime is how long an expired idle connection is read once more. Bytes that have
 	// arrived are returned at once.
 	lastReadTime = time.Millisecond
+	// tailBytes is the length of the end of a line and an empty line.
+	tailBytes = len("\n\r\n")
 )
 
 // headerTimeoutResponse answers a request whose header does not arrive in time.
@@ -58,6 +60,8 @@
 	headerDeadline time.Time
 	// allowed is how long the caller may leave the connection idle, as it was last told.
 	allowed time.Duration
+	// tail holds the last bytes that the server has got. Only Read uses it.
+	tail []byte
 }
 
 // Read implements net.Conn.
@@ -65,13 +69,13 @@
 	for {
 		phase, deadline := c.setDeadline()
 		n, err := c.TCPConn.Read(p)
-		if phase == phaseIdle && n > 0 {
+		if phase == phaseIdle && n > 0 && c.isBetweenRequests() {
 			if n = skipEmptyLines(p[:n]); n == 0 && err == nil {
 				continue
 			}
 		}
 		if n > 0 {
-			c.receive()
+			c.receive(p[:n])
 			return n, err
 		}
 		if phase == phaseServing || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -124,9 +128,11 @@
 func (c *callerConn) readLast(p []byte) (int, error) {
 	_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
 	n, err := c.TCPConn.Read(p)
-	n = skipEmptyLines(p[:n])
+	if c.isBetweenRequests() {
+		n = skipEmptyLines(p[:n])
+	}
 	if n > 0 {
-		c.receive()
+		c.receive(p[:n])
 		return n, err
 	}
 	idleClosed.Inc()
@@ -137,8 +143,16 @@
 // what was read, and returns the length of the rest.
 func skipEmptyLines(b []byte) int { return copy(b, bytes.TrimLeft(b, "\r\n")) }
 
+// isBetweenRequests reports whether the server has surely got no part of the next request: an
+// empty line may then be in front of it. Otherwise it may be the end of its header.
+func (c *callerConn) isBetweenRequests() bool {
+	return len(c.tail) == 0 || bytes.HasSuffix(c.tail, []byte("\n\r\n")) || bytes.HasSuffix(c.tail, []byte("\n\n"))
+}
+
 // receive records that bytes have arrived.
-func (c *callerConn) receive() {
+func (c *callerConn) receive(b []byte) {
+	c.tail = append(c.tail, b[max(0, len(b)-tailBytes):]...)
+	c.tail = append(c.tail[:0], c.tail[max(0, len(c.tail)-tailBytes):]...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseIdle {
