Log what a runner states in an answer that is no success

On-call could not tell whether a runner or the node had refused: "request completed" with status 503 said neither who made it nor what it rests on. Each failure of a runner now has a line with its status, whether it states "not run", its signature, whether it names the request, whether it is the first on its connection, and the attempt; a counter by status, statement and signature. No decision is changed.

--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -26,6 +26,8 @@
 	limit *limitedReader
 	// written reports whether a byte of the current request was written.
 	written bool
+	// isNamed reports whether the response to the current request names it.
+	isNamed bool
 	// expires is when the idle connection may no longer be used.
 	expires time.Time
 	closing sync.Once
@@ -114,6 +116,7 @@
 			got = response.Header.Get(r.EchoHeader)
 		}
 		if got == want || got == "" && mayBeUnnamed {
+			c.isNamed = want != "" && got == want
 			return response, nil
 		}
 		mayBeUnnamed = false
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -128,6 +128,9 @@
 	// EndsWithConnection is set if the response has neither a length nor chunks, so that
 	// its end cannot be told from a closed connection.
 	EndsWithConnection bool
+	// IsNamed is set if the response repeats the value of Request.EchoHeader, and IsFirst if it
+	// is to the first request on its connection.
+	IsNamed, IsFirst bool
 
 	response *http.Response
 	conn     *conn
@@ -192,6 +195,7 @@
 		cn.path.Open()
 	}
 	a := &Response{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, cancelled: ctx.Err, stop: stop}
+	a.IsNamed, a.IsFirst = cn.isNamed, cn.isNew
 	a.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.idleTimeout = a.maxIdleTime()
 	a.mayKeep = a.idleTimeout > 0
--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -83,6 +83,7 @@
 	c.attempts++
 	c.stage = StageBody
 	inspection := r.Wire.Inspect(response.Status, response.Header)
+	r.logRunnerResponse(c, target, response, inspection)
 	if !at.record(inspection.progress(response.Status)) {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
