--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -162,6 +162,10 @@
 	case "unknown_after_two":
 		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 2\r\nContent-Length: 0\r\n")
 	default:
+		if answer, ok := strings.CutPrefix(behavior, "answer "); ok {
+			_, _ = io.WriteString(c, scriptedAnswer(head, answer))
+			return
+		}
 		if unframed, ok := strings.CutPrefix(behavior, "unframed "); ok {
 			_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nContent-Type: text/event-stream\r\n")
 			writeStream(c, unframed, func(s string) string { return s }, "")
@@ -172,6 +176,19 @@
 	}
 }
 
+// scriptedAnswer returns the response described by "STATUS [signed] [not_run]".
+func scriptedAnswer(head, behavior string) string {
+	status, marks, _ := strings.Cut(behavior, " ")
+	header := "Content-Length: 3\r\n"
+	if strings.Contains(marks, "signed") {
+		header += "Signed: 1\r\n"
+	}
+	if strings.Contains(marks, "not_run") {
+		header += "Not-Run: 1\r\n"
+	}
+	return fmt.Sprintf(strings.Replace(head, "%d", "%s", 1)+"bad", status, header)
+}
+
 // nodeHeader returns what a node adds to the response of a runner to a request that was handed
 // over. Failures of its own have more, and what is no node adds nothing.
 func nodeHeader(q *http.Request, behavior string) string {
@@ -278,8 +295,14 @@
 	}
 }
 
-func TestFaults(t *testing.T) {
-	b, err := os.ReadFile("testdata/faults.json")
+func TestFaults(t *testing.T) { checkFaults(t, "testdata/faults.json") }
+
+// TestStatusOfARunnerPromisesNothing guards against a status of a runner that tells callers that
+// their request was not run, which the runner has not stated.
+func TestStatusOfARunnerPromisesNothing(t *testing.T) { checkFaults(t, "testdata/statuses.json") }
+
+func checkFaults(t *testing.T, file string) {
+	b, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
