Pass on no status of a runner that promises "not run"

Seen by callers: requests that may run only once were answered 503, 429 or 408 and had run or ran later (REFUSED), so that a caller who tried again had the work done twice.

Cause: nobody asked what a status promises. The node asked for the signature and for "not executed", and passed the status of every signed answer on: a time-out handler's 503, an engine's 429 for what it has begun, a 408 of a body that was read. Likewise "not executed" was believed on any status, also on a success or a 500 of a run, and work that may run only once was sent again (TWICE). By way of another node the same.

Ruled out as causes of these cases: the node's own refusals and "not sent".

Change: one judgement (Inspection.judge) for the answers of runners and those that other nodes pass on.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -34,6 +34,16 @@
 	Unknown   Outcome = "unknown"
 )
 
+// PromisesNotRun reports whether callers read a status as the promise that their request was not
+// run and never will be.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Reason is a machine-readable cause of a refusal or failure.
 type Reason string
 
--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -88,28 +88,17 @@
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
 	r.recordAsked(at.slot, inspection)
-	switch {
-	case inspection.NotRun || inspection.Misdirected:
+	switch inspection.judge(response.Status) {
+	case refusal:
 		return r.refusalFailure(c, at.slot, response, inspection)
-	case inspection.isUnusable():
+	case unfit:
 		at.slot.RecordFailure()
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
+		return unfitFailure(c, response.Status, inspection)
 	}
 	at.guard.RecordResponse()
 	return nil
 }
 
-// isUnusable reports whether a response may not be passed on.
-func (i *Inspection) isUnusable() bool { return !i.Verified || i.Encoded }
-
-// progress returns what the header of a response with a status counts for.
-func (i *Inspection) progress(status int) progress {
-	if i.NotRun || i.Misdirected || i.isUnusable() || status >= http.StatusInternalServerError {
-		return useless
-	}
-	return partial
-}
-
 // relay passes the response of an attempt on to the caller.
 func (r *Relayer) relay(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
 	c.stage = StageBody
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -128,8 +128,8 @@
 		return adoptFailure(c, reply.Failure)
 	}
 	inspection := r.Wire.Inspect(response.Status, response.Header)
-	if inspection.isUnusable() {
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, errUnverifiedResponse.Error())
+	if inspection.judge(response.Status) != fit {
+		return unfitFailure(c, response.Status, inspection)
 	}
 	at.guard.RecordResponse()
 	return nil
