Own interface: take no success for the statement that a request was not run

A success contradicts the statement, so the outcome is unknown. Nodes and engines refuse with statuses from 400, which are believed as before. A runner's 503 is passed on there with X-Outcome: completed, which promises nothing; that stays.

TestFaults/a_success_that_says_that_it_was_not_run_is_not_sent_again failed before.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close() //nolint:errcheck
 	if reason := resp.Header.Get(caller.HeaderNotRun); reason != "" && mayBeOf(id, resp) {
-		return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonRefused, "refused: "+reason)
+		return refusalFailure(c, resp.StatusCode, reason)
 	}
 	if failure := checkResponse(c, t, id, resp); failure != nil {
 		return failure
@@ -158,6 +158,15 @@
 	return got == "" || got == id
 }
 
+// refusalFailure returns the failure for a response which states that the request was not run. A
+// success contradicts that, and leaves it unknown.
+func refusalFailure(c *Call, status int, reason string) *responder.Failure {
+	if status < http.StatusBadRequest {
+		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonAnswerMismatch, fmt.Sprintf("the answer has status %d and says that the request was not run: %s", status, reason))
+	}
+	return c.failure(http.StatusServiceUnavailable, responder.NotRun, responder.ReasonRefused, "refused: "+reason)
+}
+
 // checkResponse checks that a response belongs to the attempt. A plain service need
 // not return the attempt ID.
 func checkResponse(c *Call, t target, id string, resp *http.Response) *responder.Failure {
--- a/internal/gateway/forwarder/forwarder_test.go
+++ b/internal/gateway/forwarder/forwarder_test.go
@@ -58,6 +58,8 @@
 			w.Header().Set(caller.HeaderNotRun, "busy")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case "success called not run":
+			w.Header().Set(caller.HeaderNotRun, "busy")
 		case "earlier refusal":
 			f.runs.Add(1)
 			w.Header().Set(caller.HeaderAttempt, "another")
