Send a request only once on a connection

If that request was sent to the same address again on the kept connection (under another ID of the runner, since one ID is tried once), the copy was read as the answer to the second send, which may have run.

A connection now remembers the last request's name, and is not used for it again; what is sent once more takes another connection, on which the copy cannot arrive.

--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -26,6 +26,8 @@
 	limit *limitedReader
 	// written reports whether a byte of the current request was written.
 	written bool
+	// lastEcho is the value of Request.EchoHeader of the current or last request.
+	lastEcho string
 	// isNamed reports whether the response to the current request names it.
 	isNamed bool
 	// expires is when the idle connection may no longer be used.
@@ -94,10 +96,8 @@
 // the response with its body unread.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	want := ""
-	if r.EchoHeader != "" {
-		want = r.Header.Get(r.EchoHeader)
-	}
+	want := r.echo()
+	c.lastEcho = want
 	// On a connection that has had requests before, a response that names no attempt may
 	// belong to any of them.
 	mayBeUnnamed := c.isNew
--- a/internal/network/requester/pool.go
+++ b/internal/network/requester/pool.go
@@ -23,8 +23,9 @@
 	conns []*conn
 }
 
-// get returns an idle connection to an address, or nil if none can be reused.
-func (p *pool) get(address string) *conn {
+// get returns an idle connection to an address, or nil if none can be reused. On one that has just
+// had a request of the same echo, a copy of its response could not be told from the next one.
+func (p *pool) get(address, echo string) *conn {
 	l, ok := p.lists.Get(address)
 	if !ok {
 		return nil
@@ -34,7 +35,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Now().Before(c.expires) && isReusable(c) {
+		if time.Now().Before(c.expires) && isReusable(c) && (echo == "" || c.lastEcho != echo) {
 			c.written, c.isNew = false, false
 			return c
 		}
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -81,6 +81,14 @@
 	NewConnection bool
 }
 
+// echo returns the value that the response to the request must repeat, or "".
+func (r *Request) echo() string {
+	if r.EchoHeader == "" {
+		return ""
+	}
+	return r.Header.Get(r.EchoHeader)
+}
+
 // Error is the failure of a request that got no response.
 type Error struct {
 	// Sent reports whether a byte of the request may have reached the server.
@@ -259,7 +267,7 @@
 // connection returns an idle connection or opens one.
 func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
 	if !r.NewConnection {
-		if cn := c.pool.get(r.Address); cn != nil {
+		if cn := c.pool.get(r.Address, r.echo()); cn != nil {
 			connectionsReused.Inc()
 			return cn, nil
 		}
