Wait for no refusal's body longer than 20 ms

A runner that refuses has told all that matters in its header. The rest was read to keep the connection, up to 256 KiB and for as long as it took: a body that drips a byte now and then, or does not come, held the refused request until its deadline, though another runner could have served it at once.

The body is read for 20 ms at most; then the connection is closed.

--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -130,11 +130,11 @@
 
 // skipBody reads a body that nobody needs to its end.
 func skipBody(body io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, MaxSkippedBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
 	if err != nil {
 		return fmt.Errorf("skip body: %w", err)
 	}
-	if n == MaxSkippedBytes {
+	if n == maxSkippedBytes {
 		return errBodyTooLarge
 	}
 	return nil
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -42,9 +42,10 @@
 	// maxHeaderBytes is the maximum size of the header of a response. A faulty server
 	// may send bytes without end.
 	maxHeaderBytes = 64 << 10
-	// MaxSkippedBytes is the maximum size of a body that is read only to keep its
-	// connection.
-	MaxSkippedBytes = 256 << 10
+	// maxSkippedBytes is the maximum size of a body that is read only to keep its
+	// connection, and skipTime how long SkipBody waits for it.
+	maxSkippedBytes = 256 << 10
+	skipTime        = 20 * time.Millisecond
 )
 
 var (
@@ -236,6 +237,19 @@
 // Abort closes the connection, so that reading the body fails at once.
 func (a *Response) Abort() { a.conn.abort() }
 
+// SkipBody reads a body that nobody needs, so that the connection can be kept. If it does not end
+// soon, the connection is closed instead.
+func (a *Response) SkipBody() {
+	if a.conn.SetReadDeadline(time.Now().Add(skipTime)) != nil {
+		return
+	}
+	if skipBody(a.response.Body) != nil {
+		a.Abort()
+		return
+	}
+	a.complete = a.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // maxIdleTime returns how long the connection may stay idle after the response, or at
 // most 0 if it must be closed.
 func (a *Response) maxIdleTime() time.Duration {
--- a/internal/network/requester/requester_test.go
+++ b/internal/network/requester/requester_test.go
@@ -237,7 +237,7 @@
 }
 
 func checkEndless(t *testing.T, begin, repeat string) {
-	const maxRead = MaxSkippedBytes + maxHeaderBytes + 2*bufferSize
+	const maxRead = maxSkippedBytes + maxHeaderBytes + 2*bufferSize
 	written := 0
 	c := &Client{Dial: func(context.Context, string) (net.Conn, error) {
 		client, server := net.Pipe()
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -192,8 +192,7 @@
 // refusalFailure returns the failure for a runner's response that the request was
 // not run, and keeps other requests away from the target for a while.
 func (r *Relayer) refusalFailure(c *Call, slot *balancer.Slot, response *requester.Response, inspection Inspection) *responder.Failure {
-	// The connection is kept if the body ends soon. Its content does not matter.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, requester.MaxSkippedBytes))
+	response.SkipBody()
 	slot.Avoid(refusalBackoff)
 	if inspection.Misdirected || inspection.FaultyRunner != "" {
 		slot.Avoid(unreachableBackoff)
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -49,6 +49,8 @@
 	Started bool              `json:"started"`
 	// Sends is the number of attempts that reach a runner.
 	Sends int `json:"sends"`
+	// WithinMS is the time in which the caller must have the result; 0 means any.
+	WithinMS int64 `json:"within_ms"`
 	// ResumedAfter is the event ID with which the last attempt resumes the stream.
 	// An empty one is not compared.
 	ResumedAfter string `json:"resumed_after"`
@@ -114,6 +116,12 @@
 	case "refuse_endless":
 		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nTransfer-Encoding: chunked\r\n")
 		writeWithoutEnd(c)
+	case "refuse_drip":
+		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nTransfer-Encoding: chunked\r\n")
+		dripWithoutEnd(c)
+	case "refuse_short":
+		_, _ = fmt.Fprintf(c, head, 503, "Not-Run: 1\r\nContent-Length: 9\r\n")
+		time.Sleep(10 * silence)
 	case "endless":
 		_, _ = fmt.Fprintf(c, head, 200, "Signed: 1\r\nTransfer-Encoding: chunked\r\n")
 		writeWithoutEnd(c)
@@ -215,6 +223,16 @@
 	}
 }
 
+// dripWithoutEnd writes small chunks now and then until the connection is closed.
+func dripWithoutEnd(w io.Writer) {
+	for {
+		if _, err := io.WriteString(w, "1\r\nx\r\n"); err != nil {
+			return
+		}
+		time.Sleep(silence / 10)
+	}
+}
+
 // writeStream writes the stream described by "stream FIRST-LAST ENDING". frame returns a
 // piece as it is sent, and end follows the last one of a complete body.
 func writeStream(w io.Writer, behavior string, frame func(s string) string, end string) {
@@ -335,6 +353,9 @@
 		Start: func(code int, _ http.Header) { status = code },
 		Write: func(b []byte) error { _, err := body.Write(b); return err },
 	})
+	if took := time.Since(now).Milliseconds(); x.WithinMS > 0 && took > x.WithinMS {
+		t.Errorf("the caller waited for %d ms, more than %d", took, x.WithinMS)
+	}
 	x.compare(t, s, status, body.String(), failure)
 }
 
