Bound the memory of all responses together

Cause: each body had a bound, all together had none. Class: what others send is kept without a bound over all.

Change: memory/reserver counts the bytes of all bodies that are read. From half of the bound on only the oldest one goes on, the others wait with their connection unread; a sender whose body reached its maximum is at fault and gives way first. Requests whose response gives way are sent elsewhere if they may be repeated, else they get 502; the runner counts as failing, also after an event that is too large. Bodies are kept in pieces that are used again: io.ReadAll copied as it grew, and the garbage alone took the process to the collector's limit.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -92,6 +92,7 @@
 	ReasonUnknownModel          Reason = "unknown_model"
 	ReasonPartBlocked           Reason = "prompt_part_blocked"
 	ReasonRequestBlocked        Reason = "request_blocked"
+	ReasonOutOfMemory           Reason = "out_of_memory"
 	ReasonInternal              Reason = "internal"
 )
 
--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -14,6 +14,13 @@
 	"marjorammoor/internal/network/observer"
 )
 
+const (
+	// headSize is the usual size of the head of a request in bytes.
+	headSize = 512
+	// maxCopiedBytes is the size up to which a body is copied behind its head.
+	maxCopiedBytes = 16 << 10
+)
+
 // conn is a connection to a server.
 type conn struct {
 	net.Conn
@@ -65,7 +72,12 @@
 }
 
 func (c *conn) write(r *Request) error {
-	b := make([]byte, 0, 512+len(r.Body))
+	isLarge := len(r.Body) > maxCopiedBytes
+	size := headSize
+	if !isLarge {
+		size += len(r.Body)
+	}
+	b := make([]byte, 0, size)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -86,6 +98,11 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
+	if isLarge {
+		n, err := (&net.Buffers{b, r.Body}).WriteTo(c.Conn)
+		c.written = n > 0
+		return err
+	}
 	b = append(b, r.Body...)
 	n, err := c.Write(b)
 	c.written = n > 0
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -140,6 +140,8 @@
 	// IsNamed is set if the response repeats the value of Request.EchoHeader, and IsFirst if it
 	// is to the first request on its connection.
 	IsNamed, IsFirst bool
+	// Length is the announced length of the body in bytes, or -1 if there is none.
+	Length int64
 
 	response *http.Response
 	conn     *conn
@@ -203,7 +205,7 @@
 	if cn.isNew {
 		cn.path.Open()
 	}
-	a := &Response{Status: response.StatusCode, Header: response.Header, response: response, conn: cn, client: c, cancelled: ctx.Err, stop: stop}
+	a := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, response: response, conn: cn, client: c, cancelled: ctx.Err, stop: stop}
 	a.IsNamed, a.IsFirst = cn.isNamed, cn.isNew
 	a.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.idleTimeout = a.maxIdleTime()
@@ -234,6 +236,9 @@
 	})
 }
 
+// Address returns the address of the server.
+func (a *Response) Address() string { return a.conn.address }
+
 // Abort closes the connection, so that reading the body fails at once.
 func (a *Response) Abort() { a.conn.abort() }
 
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"time"
 
 	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/observer"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/beater"
@@ -62,6 +64,10 @@
 	// memory limit. Goroutine stacks and buffers need the rest.
 	memoryLimitShare = 0.7
 	gcPercent        = 200
+	// requestMemoryShare and responseMemoryShare are the fractions of Bounds.MemoryBytes that the
+	// bodies of all requests, and of all responses, may take.
+	requestMemoryShare  = 0.2
+	responseMemoryShare = 0.15
 	// headerTimeout applies to other nodes and to checks of readiness.
 	headerTimeout = 3 * time.Second
 )
@@ -126,6 +132,8 @@
 	storeNodes      atomic.Pointer[storeNodes]
 	// reloadedBounds are the bounds of the last reload; nil means Settings.Bounds.
 	reloadedBounds atomic.Pointer[Bounds]
+	// requestMemory bounds what is kept of requests' bodies.
+	requestMemory *reserver.Reserver
 	// heldLimits is nil if no limit of callers was lowered.
 	heldLimits atomic.Pointer[heldLimits]
 }
@@ -133,7 +141,7 @@
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	n.startedAt = time.Now()
-	debug.SetMemoryLimit(int64(float64(n.bounds().MemoryBytes) * memoryLimitShare))
+	debug.SetMemoryLimit(n.memoryShare(memoryLimitShare))
 	debug.SetGCPercent(gcPercent)
 	n.build()
 	n.Log.Info("node starting", "data_center", n.Settings.DataCenter, "callers", n.Settings.CallerAddress,
@@ -176,6 +184,15 @@
 	return nil
 }
 
+// memoryShare returns a fraction of the memory that the process may have, in bytes. Without such a
+// setting there is no bound.
+func (n *Node) memoryShare(share float64) int64 {
+	if n.bounds().MemoryBytes <= 0 {
+		return math.MaxInt64
+	}
+	return int64(float64(n.bounds().MemoryBytes) * share)
+}
+
 func (n *Node) listenToCallers() (net.Listener, error) {
 	l, err := n.listen(n.Settings.CallerAddress)
 	if err != nil {
@@ -217,7 +234,11 @@
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.relayer = &relayer.Relayer{Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log}
+	n.requestMemory = &reserver.Reserver{Limit: func() int64 { return n.memoryShare(requestMemoryShare) }}
+	n.relayer = &relayer.Relayer{
+		Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log,
+		Memory: &reserver.Reserver{Limit: func() int64 { return n.memoryShare(responseMemoryShare) }},
+	}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
 		Replace: n.replaceCatalogs, Update: n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
--- a/internal/node/server/reload.go
+++ b/internal/node/server/reload.go
@@ -16,7 +16,7 @@
 	old, updated := n.bounds(), s.Bounds
 	n.reloadedBounds.Store(&updated)
 	if old.MemoryBytes != updated.MemoryBytes {
-		debug.SetMemoryLimit(int64(float64(updated.MemoryBytes) * memoryLimitShare))
+		debug.SetMemoryLimit(n.memoryShare(memoryLimitShare))
 	}
 	n.Log.Info("settings are reloaded", "bounds_changed", *old != updated, "old", *old, "new", updated)
 	if n.needsRestart(s) {
--- a/internal/serving/relayer/attempt.go
+++ b/internal/serving/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
@@ -27,6 +28,10 @@
 	response    *requester.Response
 	// ahead holds bytes of the response's body that were read before it is relayed.
 	ahead []byte
+	// memory is that of incomplete events, and kept its size beyond a buffer; nil means that there
+	// were only small ones.
+	memory *reserver.Reservation
+	kept   int
 	// next finds the attempt that goes on in place of this one; nil means that none may.
 	next *successor
 }
@@ -46,6 +51,9 @@
 	if at.response != nil {
 		at.response.Close()
 	}
+	if at.memory != nil {
+		at.memory.Release()
+	}
 	at.cancel(nil)
 	at.slot.Release()
 	if at.endDelivery != nil {
@@ -112,13 +120,33 @@
 	return r.relayBuffered(c, a, at)
 }
 
+// keepEvents reserves the memory of a buffer for incomplete events, beyond the size that each
+// attempt has.
+func (at *attempt) keepEvents(r *reserver.Reserver, size int) error {
+	extra := size - streamBufferSize - at.kept
+	if extra <= 0 {
+		return nil
+	}
+	if at.memory == nil {
+		at.memory = r.Reserve(at.response.Address(), at.response.Abort)
+	}
+	if err := at.memory.Grow(at.ctx, int64(extra)); err != nil {
+		return fmt.Errorf("keep an event of more than %d bytes: %w", size-extra, err)
+	}
+	at.kept += extra
+	return nil
+}
+
 // readAhead reads a streamed response until it has a whole event or ends.
-func (at *attempt) readAhead() error {
+func (at *attempt) readAhead(memory *reserver.Reserver) error {
 	buffer := make([]byte, streamBufferSize)
 	for len(at.ahead) <= maxEventSize {
 		n, err := at.response.Body.Read(buffer)
 		searched := len(at.ahead)
 		at.ahead = append(at.ahead, buffer[:n]...)
+		if err := at.keepEvents(memory, cap(at.ahead)); err != nil {
+			return err
+		}
 		switch {
 		case lastEventEnd(at.ahead, searched) > 0, errors.Is(err, io.EOF) && len(at.ahead) == 0 && !at.response.EndsWithConnection:
 			return nil
@@ -126,5 +154,6 @@
 			return fmt.Errorf("read the first event: %w", err)
 		}
 	}
+	at.memory.RecordEndless()
 	return errEventTooLarge
 }
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/serving/balancer"
 	"marjorammoor/internal/serving/breaker"
 	"marjorammoor/internal/serving/matcher"
@@ -119,7 +120,24 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	pieces [][]byte
+	memory *reserver.Reservation
+}
+
+// size returns the size of the body in bytes.
+func (b *bufferedResponse) size() int {
+	n := 0
+	for _, piece := range b.pieces {
+		n += len(piece)
+	}
+	return n
+}
+
+// release returns the memory of the body.
+func (b *bufferedResponse) release() {
+	if b != nil {
+		b.memory.Release()
+	}
 }
 
 // recordBreak records that the runner of a slot broke off the call. Without a slot, another
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/routing/retrier"
@@ -38,10 +38,7 @@
 	maxRetryAfter = time.Second
 )
 
-var (
-	errResponseTooLarge   = errors.New("the answer is not whole")
-	errUnverifiedResponse = errors.New("the answer is not surely the runner's own")
-)
+var errUnverifiedResponse = errors.New("the answer is not surely the runner's own")
 
 // Relayer forwards calls to runners. Set all fields before use.
 type Relayer struct {
@@ -52,6 +49,8 @@
 	Peers *deliverer.Deliverer
 	// Breaker tells which requests must not be sent.
 	Breaker *breaker.Breaker
+	// Memory bounds what is kept of responses; nil means that nothing does.
+	Memory *reserver.Reserver
 	// Leaving, if set, is called for each response of a runner that says that it leaves.
 	Leaving func(t *tracker.Target)
 	// Budget returns the retry budget of a service.
@@ -81,6 +80,7 @@
 	}
 	s := &stream{lastID: c.LastEvent}
 	defer func() { c.next.close() }()
+	defer func() { c.errorResponse.release() }()
 	for {
 		failure := r.try(l, c, a, s, budget)
 		if failure == nil {
@@ -234,23 +234,14 @@
 
 // relayBuffered reads a response to its end and writes it to the caller.
 func (r *Relayer) relayBuffered(c *Call, a *ResponseWriter, at *attempt) *responder.Failure {
-	ctx, slot, response := at.ctx, at.slot, at.response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
+	slot, response := at.slot, at.response
+	buffered, err := r.readResponse(at)
 	if err != nil {
-		switch {
-		case errors.Is(context.Cause(ctx), balancer.ErrStalled):
-			return r.stallFailure(ctx, c, slot)
-		case ctx.Err() != nil:
-			return contextFailure(ctx, c, responder.Unknown)
-		}
-		c.recordBreak(slot)
-		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
+		return r.bodyFailure(c, at, err)
 	}
 	if !at.record(whole) {
-		return r.stallFailure(ctx, c, slot)
+		buffered.release()
+		return r.stallFailure(at.ctx, c, slot)
 	}
 	if response.Status >= http.StatusInternalServerError {
 		slot.RecordFailure()
@@ -258,25 +249,61 @@
 		c.guard.Complete()
 		slot.RecordSuccess()
 	}
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if c.Route.IsRepeatable() && response.Status >= http.StatusInternalServerError {
+		c.errorResponse.release()
 		c.errorResponse = buffered
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonRunnerError, fmt.Sprintf("the runner returned status %d", response.Status))
 	}
+	defer buffered.release()
 	r.writeResponse(c, a, buffered)
 	return nil
 }
 
+// readResponse reads a response to its end.
+func (r *Relayer) readResponse(at *attempt) (*bufferedResponse, error) {
+	response := at.response
+	memory := r.Memory.Reserve(response.Address(), response.Abort)
+	pieces, err := memory.ReadAll(at.ctx, response.Body, response.Length, maxResponseBytes)
+	if err != nil {
+		memory.Release()
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	return &bufferedResponse{status: response.Status, header: response.Header, pieces: pieces, memory: memory}, nil
+}
+
+// bodyFailure returns the failure for a response whose body could not be read to its end.
+func (r *Relayer) bodyFailure(c *Call, at *attempt, err error) *responder.Failure {
+	switch {
+	case errors.Is(context.Cause(at.ctx), balancer.ErrStalled):
+		return r.stallFailure(at.ctx, c, at.slot)
+	case at.ctx.Err() != nil:
+		return contextFailure(at.ctx, c, responder.Unknown)
+	case isMemoryError(err):
+		at.slot.RecordFailure()
+		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonOutOfMemory, err.Error())
+	}
+	c.recordBreak(at.slot)
+	return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, err.Error())
+}
+
+// isMemoryError reports whether a body was given up since the memory for bodies is used up.
+func isMemoryError(err error) bool {
+	return errors.Is(err, reserver.ErrRevoked) || errors.Is(err, reserver.ErrFull)
+}
+
 // writeResponse writes a buffered response to the caller.
 func (r *Relayer) writeResponse(c *Call, a *ResponseWriter, w *bufferedResponse) {
 	header := r.Wire.EndToEnd(w.header)
 	if w.status != http.StatusNoContent && w.status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(w.body)))
+		header.Set("Content-Length", strconv.Itoa(w.size()))
 	}
 	a.Start(w.status, header)
 	c.Timing.recordWrite(c.Arrived)
-	if err := a.Write(w.body); err != nil {
-		r.Log.Debug("caller disconnected before the response was written", "request", c.ID, "error", err)
+	for _, piece := range w.pieces {
+		if err := a.Write(piece); err != nil {
+			r.Log.Debug("caller disconnected before the response was written", "request", c.ID, "error", err)
+			return
+		}
 	}
 }
 
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -54,7 +54,8 @@
 
 // relayStream forwards complete events to the caller until the response ends.
 func (r *Relayer) relayStream(c *Call, a *ResponseWriter, s *stream, at *attempt) *responder.Failure {
-	s.pending, s.hasEvent = append(s.pending[:0], at.ahead...), false
+	s.pending, s.hasEvent = at.ahead, false
+	defer func() { s.pending = nil }()
 	if failure := r.forwardEvents(c, a, s, at, 0); failure != nil {
 		return failure
 	}
@@ -64,6 +65,9 @@
 		if n > 0 {
 			searched := len(s.pending)
 			s.pending = append(s.pending, buffer[:n]...)
+			if err := at.keepEvents(r.Memory, cap(s.pending)); err != nil {
+				return r.streamFailure(c, at, err)
+			}
 			if failure := r.forwardEvents(c, a, s, at, searched); failure != nil {
 				return failure
 			}
@@ -105,6 +109,8 @@
 	end := lastEventEnd(s.pending, searched)
 	if end == 0 {
 		if len(s.pending) > maxEventSize {
+			at.memory.RecordEndless()
+			at.slot.RecordFailure()
 			return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonStreamBroken, errEventTooLarge.Error())
 		}
 		return nil
--- a/internal/serving/relayer/successor.go
+++ b/internal/serving/relayer/successor.go
@@ -269,7 +269,7 @@
 		return at
 	}
 	if isStream && at.response.Status == http.StatusOK {
-		err := at.readAhead()
+		err := at.readAhead(n.relayer.Memory)
 		if err == nil {
 			return at
 		}
