Refuse callers' bodies for which there is no memory

100 callers with bodies of 6 MiB ended a node of 184 MiB (186 MiB in use, TestLargeBodiesOfCallersDoNotEndTheProcess): bodies up to max_body_bytes, or 64 MiB if another node hands them over, were kept without a bound over all.

One that finds none is refused as soon as its announced length is known, as not run (503, out_of_memory), with when to come back; a node that handed it over asks another one.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
@@ -25,6 +25,9 @@
 	// its header; such a body is read without a deadline.
 	smallBodyBytes  = 32 << 10
 	bodyReadTimeout = 10 * time.Second
+	// memoryRetryAfter is the Retry-After time for callers whose body finds no memory. Others
+	// take a fraction of a second to be passed on.
+	memoryRetryAfter = 500 * time.Millisecond
 )
 
 var (
@@ -91,7 +94,9 @@
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
-	body, failure := n.readBody(rw, r, in, catalog, limits)
+	memory := n.requestMemory.Reserve("", func() {})
+	defer memory.Release()
+	body, failure := n.readBody(rw, r, in, catalog, limits, memory)
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
@@ -111,8 +116,9 @@
 	n.serveCall(r.Context(), w, call, d)
 }
 
-// readBody reads the request body up to the limit, which follows from a configuration.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) ([]byte, *responder.Failure) {
+// readBody reads the request body up to the limit, which follows from a configuration. If there is
+// no memory for it, the request is refused as soon as that is known.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits, memory *reserver.Reservation) ([]byte, *responder.Failure) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -123,13 +129,17 @@
 		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
+	body, err := memory.ReadInto(http.MaxBytesReader(w, r.Body, l.BodyBytes), min(r.ContentLength, l.BodyBytes+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
+	case errors.Is(err, reserver.ErrFull):
+		return nil, &responder.Failure{
+			Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: responder.ReasonOutOfMemory, Message: err.Error(), RequestID: in.ID, RetryAfter: memoryRetryAfter,
+		}
 	}
 	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -161,6 +161,8 @@
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: unknown_model\r\nX-Delivery-Attempts: 0\r\nContent-Length: 0\r\n")
 	case "stopping":
 		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: shutting_down\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 100\r\nContent-Length: 0\r\n")
+	case "out_of_memory":
+		_, _ = fmt.Fprintf(c, head, 503, "X-Delivery-Outcome: not_run\r\nX-Delivery-Reason: out_of_memory\r\nX-Delivery-Attempts: 0\r\nX-Delivery-Retry-After-Ms: 500\r\nContent-Length: 0\r\n")
 	case "unknown":
 		_, _ = fmt.Fprintf(c, head, 502, "X-Delivery-Outcome: unknown\r\nX-Delivery-Reason: connection_broken\r\nX-Delivery-Attempts: 1\r\nContent-Length: 0\r\n")
 	case "unknown_503":
@@ -201,7 +203,7 @@
 // over. Failures of its own have more, and what is no node adds nothing.
 func nodeHeader(q *http.Request, behavior string) string {
 	switch behavior {
-	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "newer_configuration", "unknown_model", "unreachable", "stopping", "unknown", "unknown_503", "unknown_unreachable", "unknown_after_two":
+	case "foreign", "not_run", "unknown_peer", "denied", "no_route", "old_configuration", "newer_configuration", "unknown_model", "unreachable", "stopping", "out_of_memory", "unknown", "unknown_503", "unknown_unreachable", "unknown_after_two":
 		return ""
 	}
 	if q.Header.Get("X-Delivery-Attempts") == "" {
