Tell another node how often a begun stream was sent before it broke off

A node that was cut off from its runners handed it over; the other node began the response, which names one attempt in its header, sent it again after the first runner had broken off, and closed the connection; the first node knew of one attempt and sent it a third time.

A node that breaks a begun stream off now writes its number of attempts as the last event, a comment, if the sender has said in the request that it takes one (builds before do not, and get none); the sender takes the event out.

Left: a node that is killed in between tells nothing.

--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -8,6 +8,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
+	"marjorammoor/internal/serving/matcher"
 	"marjorammoor/internal/serving/relayer"
 )
 
@@ -78,3 +79,15 @@
 		deliverer.SetAttempts(w.Header(), c.Attempts())
 	}
 }
+
+// noticeAttempts tells the other node how often a stream that breaks off may have reached a runner:
+// it may have been sent again since its response began.
+func noticeAttempts(w *callerResponse, d *deliverer.Delivery, c *relayer.Call) {
+	if d == nil || !d.TakesNotices || c == nil || c.Route.Type != matcher.Stream {
+		return
+	}
+	// If the connection is broken, the other node cannot be told.
+	if _, err := w.Write(deliverer.AppendNotice(nil, c.Attempts())); err == nil {
+		_ = w.flush()
+	}
+}
--- a/internal/node/server/deliveries_test.go
+++ b/internal/node/server/deliveries_test.go
@@ -89,3 +89,23 @@
 		t.Errorf("the other node was told version %v, want 1", got)
 	}
 }
+
+// TestBrokenStreamTellsTheOtherNodeItsAttempts guards against streams that run more often than
+// their route allows, since two nodes have each sent them again.
+func TestBrokenStreamTellsTheOtherNodeItsAttempts(t *testing.T) {
+	x := &stopCase{Route: "stream", Runner: "broken"}
+	n := newStoppingNode(t, x)
+	time.Sleep(100 * time.Millisecond)
+	for header, want := range map[string]string{"": "id: 1\ndata: x\n\n", "X-Delivery-Notices: 1\r\n": "id: 1\ndata: x\n\n: x-delivery-attempts 1\n\n"} {
+		c := x.dial(t, n.deliveries.listener.Addr().String())
+		_, _ = io.WriteString(c, strings.Replace(x.request("q"), "\r\n", "\r\n"+header, 1))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err == nil || string(body) != want {
+			t.Errorf("with header %q: body %q, error %v, want a broken %q", header, body, err, want)
+		}
+	}
+}
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -302,7 +302,8 @@
 }
 
 // stopRunner returns a runner that answers at once ("ok"), after slowAnswer ("slow"), never
-// ("silent"), without naming the request ("unnamed"), or with events, without end or three.
+// ("silent"), without naming the request ("unnamed"), with one event and a broken connection ("broken"), or with
+// events, without end or three.
 func (n *stoppingNode) stopRunner() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.sends.Add(1)
@@ -327,6 +328,10 @@
 			return
 		case "events":
 			events = 1 << 30
+		case "broken":
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
 		}
 		for i := 1; i <= events && r.Context().Err() == nil; i++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
--- a/internal/peer/deliverer/delivery.go
+++ b/internal/peer/deliverer/delivery.go
@@ -27,6 +27,8 @@
 	headerLastEvent = "X-Delivery-Last-Event"
 	// headerVersion is the version of the configuration that has admitted the request.
 	headerVersion = "X-Delivery-Version"
+	// headerNotices is set if the node takes notices in streams.
+	headerNotices = "X-Delivery-Notices"
 	// headerOutcome and headerReason are those of a failure.
 	headerOutcome = "X-Delivery-Outcome"
 	headerReason  = "X-Delivery-Reason"
@@ -49,6 +51,9 @@
 	LastEvent string
 	// Version is the version of the configuration that has admitted it, or 0 if it is not known.
 	Version int64
+	// TakesNotices is set if the node takes a notice at the end of a stream that breaks off.
+	// Earlier builds do not.
+	TakesNotices bool
 }
 
 // setHeader writes the delivery into the header of the request.
@@ -57,6 +62,7 @@
 	h.Set(headerAge, strconv.FormatInt(d.Age.Milliseconds(), 10))
 	h.Set(headerAttempts, strconv.Itoa(d.Attempts))
 	h.Set(headerVersion, strconv.FormatInt(d.Version, 10))
+	h.Set(headerNotices, "1")
 	h.Del(headerLastEvent)
 	if d.LastEvent != "" {
 		h.Set(headerLastEvent, d.LastEvent)
@@ -78,8 +84,8 @@
 	if err != nil || version < 0 {
 		return Delivery{}, fmt.Errorf("%s: %q is not a version", headerVersion, h.Get(headerVersion))
 	}
-	d := Delivery{Node: h.Get(headerNode), Age: time.Duration(age) * time.Millisecond, Attempts: attempts, LastEvent: h.Get(headerLastEvent), Version: version}
-	for _, k := range []string{headerNode, headerAge, headerAttempts, headerLastEvent, headerVersion} {
+	d := Delivery{Node: h.Get(headerNode), Age: time.Duration(age) * time.Millisecond, Attempts: attempts, LastEvent: h.Get(headerLastEvent), Version: version, TakesNotices: h.Get(headerNotices) == "1"}
+	for _, k := range []string{headerNode, headerAge, headerAttempts, headerLastEvent, headerVersion, headerNotices} {
 		h.Del(k)
 	}
 	return d, nil
--- a/internal/serving/relayer/relayer_test.go
+++ b/internal/serving/relayer/relayer_test.go
@@ -259,6 +259,10 @@
 	case "gap":
 		write(fmt.Sprintf("id: %d\ndata: x\n\n", last+2))
 		_, _ = io.WriteString(w, end)
+	case "noticed":
+		write(": x-delivery-attempts 2\n\n")
+	case "noticed_one":
+		write(": x-delivery-attempts 1\n\n")
 	case "torn_hang":
 		write(fmt.Sprintf("id: %d\nda", last+1))
 		time.Sleep(10 * silence)
--- a/internal/serving/relayer/stream.go
+++ b/internal/serving/relayer/stream.go
@@ -12,6 +12,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/network/requester"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/balancer"
 )
 
@@ -115,7 +116,15 @@
 		}
 		return nil
 	}
-	valid, ok, orderErr := s.advance(at, s.pending[:end])
+	events := s.pending[:end]
+	if at.slot == nil {
+		events = c.takeNotice(events)
+	}
+	if len(events) == 0 {
+		s.pending = append(s.pending[:0], s.pending[end:]...)
+		return nil
+	}
+	valid, ok, orderErr := s.advance(at, events)
 	if !ok {
 		return r.stallFailure(at.ctx, c, at.slot)
 	}
@@ -135,6 +144,15 @@
 	return nil
 }
 
+// takeNotice takes what another node tells of its attempts out of the events that it has sent.
+func (c *Call) takeNotice(events []byte) []byte {
+	events, attempts, ok := deliverer.CutNotice(events)
+	if ok {
+		c.attempts = max(c.attempts, attempts)
+	}
+	return events
+}
+
 // lastEventEnd returns the length of the complete events at the start of b, of which the first
 // bytes, as many as searched, hold none. Only the others are searched, since an event may be long.
 func lastEventEnd(b []byte, searched int) int {
