--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -30,7 +29,6 @@
 	"marjorammoor/internal/state/ranker"
 	"marjorammoor/internal/state/sharder"
 	"marjorammoor/internal/store/follower"
-	"marjorammoor/internal/store/sequencer"
 	"marjorammoor/internal/timing/repeater"
 )
 
@@ -184,15 +182,6 @@
 	return nil
 }
 
-// memoryShare returns a fraction of the memory that the process may have, in bytes. Without such a
-// setting there is no bound.
-func (n *Node) memoryShare(share float64) int64 {
-	if n.bounds().MemoryBytes <= 0 {
-		return math.MaxInt64
-	}
-	return int64(float64(n.bounds().MemoryBytes) * share)
-}
-
 func (n *Node) listenToCallers() (net.Listener, error) {
 	l, err := n.listen(n.Settings.CallerAddress)
 	if err != nil {
@@ -215,75 +204,6 @@
 	}
 }
 
-// build creates the components and connects them.
-func (n *Node) build() {
-	s, p := n.Settings, n.Platform
-	n.signals = newStopSignals()
-	if n.Client == nil {
-		n.Client = &requester.Client{}
-	}
-	n.observer = n.newObserver()
-	n.Client.Observer = n.observer
-	n.deliverer = &deliverer.Deliverer{Self: s.Name, Peers: n.deliveryPeers, Client: &requester.Client{LocalIP: n.Client.LocalIP}}
-	n.suspects = map[string]time.Time{}
-	n.tracker = &tracker.Tracker{}
-	n.balancer = &balancer.Balancer{View: n.tracker.View, DataCenter: s.DataCenter, Self: s.Name, Suspected: n.recordSuspect}
-	n.balancer.IsConnected = func(t balancer.Target) bool { return n.Client.HasIdle(t.Address) }
-	n.balancer.Limited = n.logLimit
-	n.balancer.Reach = n.reach
-	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
-	n.tracker.Changed = n.balancer.Dispatch
-	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.requestMemory = &reserver.Reserver{Limit: func() int64 { return n.memoryShare(requestMemoryShare) }}
-	n.relayer = &relayer.Relayer{
-		Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log,
-		Memory: &reserver.Reserver{Limit: func() int64 { return n.memoryShare(responseMemoryShare) }},
-	}
-	n.catalogs = &follower.Follower{
-		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
-		Replace: n.replaceCatalogs, Update: n.applyCatalogs, MayConfirm: n.mayConfirmCatalog,
-	}
-	n.runners = &follower.Follower{
-		Kind: p.RunnerKind, Store: p.Store, Wait: runnersWait, MinInterval: runnersInterval, Log: n.Log,
-		Replace: n.replaceRunners, Update: n.updateRunners,
-		OnOutage: func(outage time.Duration) { n.expectReregistration(follower.Listing{Outage: outage}) },
-	}
-	for _, f := range []*follower.Follower{n.catalogs, n.runners} {
-		f.IsWatchedByPeer = func() bool { return n.isWatchedByPeer(f) }
-		f.OnChanges = n.publish
-		f.Eras = p.Eras
-		f.OnRestoredList = func(objects []follower.Object, at sequencer.Position) { n.publishList(f.Kind, objects, at) }
-	}
-	n.admitter = &admitter.Admitter{Catalog: n.catalog.Load, Age: n.catalogs.Age, MayDeny: n.mayDeny, RevocationTimeout: func() time.Duration { return n.bounds().RevocationTimeout }}
-	n.beater = &beater.Beater{Self: s.Name, DataCenter: s.DataCenter, Fill: n.fillHeartbeat, OnHeartbeat: n.receiveHeartbeat, OnChanges: n.applyPeerChanges, OnListPart: n.applyPeerList, OnObject: n.receiveObject, OnGrant: n.receiveGrant, Log: n.Log}
-	n.announcer = &announcer.Announcer{
-		Self:  announcer.Node{Name: s.Name, Address: s.PeerAddress, DataCenter: s.DataCenter},
-		Store: p.Store, Era: p.Eras.Newest, Found: n.beater.AddPeer, Log: n.Log,
-	}
-	n.former = &former.Controller{
-		View:               n.tracker.View,
-		ViewAt:             n.runners.ConfirmedAt,
-		Services:           n.services,
-		Store:              p.Store,
-		Send:               p.Send,
-		Probe:              n.probeMember,
-		Ask:                p.Ask,
-		Eras:               p.Eras,
-		InFlight:           n.balancer.InFlight,
-		HasWaiting:         n.balancer.HasWaiting,
-		Owns:               n.owns,
-		CreatesAssignments: n.createsAssignments,
-		Suspects:           n.recentSuspects,
-		AnswersPeers:       n.answeredPeer,
-		PeerLoads:          n.peerLoads,
-		StoreFailed:        n.recordStoreFailure,
-		IsStartup:          n.isBeforeTraffic,
-		LoadsPerWindow:     n.loadsPerWindow,
-		StallTime:          func() time.Duration { return n.bounds().StallTime },
-		Log:                n.Log,
-	}
-}
-
 // startBackground starts the work that runs beside the HTTP servers.
 func (n *Node) startBackground(ctx context.Context, failed chan<- error) {
 	go n.catalogs.Run(ctx)
