Own interface: bound the memory of all bodies together

The same class as on the users' platform, by reading: the product's own gateway kept up to 16 MiB of each response and up to max_body_bytes of each request, with no bound over all. Both have 256 MiB now. A request whose body finds no memory is refused as not run (503, out_of_memory); a response that finds none is relayed as it arrives, as one over 16 MiB is.

TestBodyWithoutMemoryIsRefused and TestLargeResponsesWithoutMemoryAreRelayed (whole with a limit of one byte, memory returned).

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"marjorammoor/internal/gateway/authenticator"
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/objects/parser"
 	"marjorammoor/internal/runner/caller"
 )
@@ -182,18 +184,21 @@
 }
 
 // relayBuffered reads the complete response before it writes any of it, so that the
-// caller never receives a partial one. A body above maxBufferedBytes is relayed as it
-// arrives, and the caller's connection is aborted if the body breaks off.
+// caller never receives a partial one. A body above maxBufferedBytes, or for which there is no
+// memory, is relayed as it arrives, and the caller's connection is aborted if the body breaks off.
 func (f *Forwarder) relayBuffered(ctx context.Context, rw *responseWriter, c *Call, resp *http.Response) *responder.Failure {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
+	memory := f.Memory.Reserve(c.Deployment, func() {})
+	defer memory.Release()
+	body, err := memory.ReadInto(io.LimitReader(resp.Body, maxBufferedBytes+1), min(resp.ContentLength, maxBufferedBytes))
+	isWhole := err == nil && len(body) <= maxBufferedBytes
+	if err != nil && !errors.Is(err, reserver.ErrFull) {
 		if ctx.Err() != nil {
 			return contextFailure(ctx, c, responder.Unknown)
 		}
 		return c.failure(http.StatusBadGateway, responder.Unknown, responder.ReasonConnectionBroken, "the answer broke off")
 	}
 	rw.start(resp)
-	if _, err := rw.w.Write(body); err != nil || len(body) <= maxBufferedBytes {
+	if _, err := rw.w.Write(body); err != nil || isWhole {
 		return nil
 	}
 	if _, err := io.Copy(rw.w, resp.Body); err != nil {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"marjorammoor/internal/admission/allocator"
 	"marjorammoor/internal/admission/scheduler"
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/routing/director"
 	"marjorammoor/internal/routing/picker"
 	"marjorammoor/internal/routing/retrier"
@@ -46,6 +47,8 @@
 	// FreshClient sends each request over a new connection, so that the transport
 	// never repeats one.
 	FreshClient *http.Client
+	// Memory bounds what is kept of responses; nil means that nothing does.
+	Memory *reserver.Reserver
 
 	// budgets are the retry budgets by deployment.
 	budgets sharder.Map[string, *retrier.Budget]
--- a/internal/gateway/forwarder/forwarder_test.go
+++ b/internal/gateway/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +16,7 @@
 	"marjorammoor/internal/admission/allocator"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/health/verifier"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/dialer"
 	"marjorammoor/internal/objects/parser"
 	"marjorammoor/internal/routing/director"
@@ -210,6 +212,29 @@
 	}
 }
 
+// TestLargeResponsesWithoutMemoryAreRelayed guards against responses that together take all memory,
+// and against ones that are lost or cut since there is none.
+func TestLargeResponsesWithoutMemoryAreRelayed(t *testing.T) {
+	body := strings.Repeat("x", 1<<20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(caller.HeaderAttempt, r.Header.Get(caller.HeaderAttempt))
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	f, spec := newForwarder(t, strings.TrimPrefix(server.URL, "http://"), parser.TypeService)
+	for _, limit := range []int64{1, 64 << 10, 4 << 20} {
+		f.Memory = &reserver.Reserver{Limit: func() int64 { return limit }}
+		w := httptest.NewRecorder()
+		c := &Call{RequestID: "q", Team: "team", Deployment: "d", Spec: spec, Method: http.MethodGet, Path: "/v1/x", Header: http.Header{}, ExpectedTokens: 1}
+		if failure := f.Serve(context.Background(), w, c); failure != nil || w.Body.String() != body {
+			t.Errorf("limit %d: %d bytes of %d, failure %v", limit, w.Body.Len(), len(body), failure)
+		}
+		if err := f.Memory.Reserve("other", func() {}).TryGrow(limit); err != nil {
+			t.Errorf("limit %d: memory is not returned: %v", limit, err)
+		}
+	}
+}
+
 // BenchmarkServe compares a short call through the forwarder with a direct call of the
 // same runner.
 func BenchmarkServe(b *testing.B) {
--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -18,7 +18,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,6 +32,7 @@
 	"marjorammoor/internal/gateway/authenticator"
 	"marjorammoor/internal/gateway/forwarder"
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/objects/parser"
 	"marjorammoor/internal/routing/picker"
 	"marjorammoor/internal/runner/caller"
@@ -85,6 +85,8 @@
 	PeerToken string
 	// MaxBodyBytes bounds a request's body; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
+	// Memory bounds what is kept of requests' bodies; nil means that nothing does.
+	Memory *reserver.Reserver
 
 	lastRequest    atomic.Int64
 	activeRequests atomic.Int64
@@ -243,7 +245,9 @@
 		return failure
 	}
 	defer cancel()
-	if failure := s.readBody(w, r, c); failure != nil {
+	memory := s.Memory.Reserve("", func() {})
+	defer memory.Release()
+	if failure := s.readBody(w, r, c, memory); failure != nil {
 		return failure
 	}
 	if failure := parse(c); failure != nil {
@@ -290,19 +294,21 @@
 	return ctx, cancel, nil
 }
 
-// readBody reads the body within MaxBodyBytes and bodyTimeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *forwarder.Call) *responder.Failure {
+// readBody reads the body within MaxBodyBytes and bodyTimeout, if there is memory for it.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *forwarder.Call, memory *reserver.Reservation) *responder.Failure {
 	limit := s.MaxBodyBytes
 	if limit == 0 {
 		limit = DefaultMaxBodyBytes
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := memory.ReadInto(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return fail(c, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, reserver.ErrFull):
+		return fail(c, http.StatusServiceUnavailable, responder.ReasonOutOfMemory, err.Error())
 	case err != nil:
 		return fail(c, http.StatusBadRequest, responder.ReasonBodyNotRead, "the body could not be read")
 	}
--- a/internal/gateway/server/server_test.go
+++ b/internal/gateway/server/server_test.go
@@ -3,8 +3,12 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"marjorammoor/internal/gateway/forwarder"
+	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/state/recorder"
 )
 
@@ -23,3 +27,24 @@
 		}
 	}
 }
+
+// TestBodyWithoutMemoryIsRefused guards against callers' bodies that together take all memory.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	t.Parallel()
+	for limit, want := range map[int64]responder.Reason{16 << 10: responder.ReasonOutOfMemory, 1 << 20: ""} {
+		s := &Server{Memory: &reserver.Reserver{Limit: func() int64 { return limit }}}
+		for _, length := range []int64{64 << 10, -1} {
+			r := httptest.NewRequest(http.MethodPost, "/services/s/x", strings.NewReader(strings.Repeat("b", 64<<10)))
+			r.ContentLength = length
+			memory := s.Memory.Reserve("", func() {})
+			f := s.readBody(httptest.NewRecorder(), r, &forwarder.Call{}, memory)
+			memory.Release()
+			switch {
+			case f == nil && want != "":
+				t.Errorf("limit %d, length %d: the body was taken", limit, length)
+			case f != nil && (f.Reason != want || f.Outcome != responder.NotRun):
+				t.Errorf("limit %d, length %d: %v", limit, length, f)
+			}
+		}
+	}
+}
--- a/internal/memory/reserver/body.go
+++ b/internal/memory/reserver/body.go
@@ -72,8 +72,9 @@
 	}
 }
 
-// ReadInto reads a body to its end and returns it in one piece, without waiting for memory: it
-// fails with ErrFull if there is none. length is the announced length, or below 0.
+// ReadInto reads a body to its end and returns it in one piece, without waiting for memory. If there
+// is none, it fails with ErrFull and returns what it has read so far. length is the announced
+// length, or below 0.
 func (h *Reservation) ReadInto(body io.Reader, length int64) ([]byte, error) {
 	b, err := h.extend(nil, firstSize(length))
 	if err == nil && length >= smallBytes {
@@ -91,15 +92,15 @@
 			b, err = h.extend(b, 2*cap(b))
 		}
 	}
-	return nil, err
+	return b, err
 }
 
-// extend returns a copy of b with another capacity, whose memory it reserves. That of b is
-// returned once the copy is made.
+// extend returns a copy of b with another capacity, whose memory it reserves, or b with an error.
+// The memory of b is returned once the copy is made.
 func (h *Reservation) extend(b []byte, size int) ([]byte, error) {
 	if size > smallBytes {
 		if err := h.TryGrow(int64(size)); err != nil {
-			return nil, fmt.Errorf("keep a body of %d bytes: %w", size, err)
+			return b, fmt.Errorf("keep a body of %d bytes: %w", size, err)
 		}
 	}
 	c := append(make([]byte, 0, size), b...)
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -27,6 +27,7 @@
 	gatewayserver "marjorammoor/internal/gateway/server"
 	"marjorammoor/internal/health/prober"
 	"marjorammoor/internal/health/verifier"
+	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/dialer"
 	"marjorammoor/internal/peer/exchanger"
 	"marjorammoor/internal/platform/client"
@@ -41,6 +42,9 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	drainPollInterval = 20 * time.Millisecond
+	// bodyMemoryBytes is what the bodies of all requests, and of all responses, may take. Further
+	// requests are refused, further responses relayed as they arrive.
+	bodyMemoryBytes = 256 << 20
 	// runnerIdleConns and controlIdleConns are the numbers of idle connections that
 	// are kept to each address, for requests and for control traffic.
 	runnerIdleConns  = 64
@@ -166,10 +170,12 @@
 	n.forwarder = &forwarder.Forwarder{
 		Director: n.director, Allocator: n.allocator, PeerToken: s.PeerToken,
 		Client: dial.HTTPClient(runnerIdleConns), FreshClient: dial.HTTPClient(-1),
+		Memory: &reserver.Reserver{Limit: func() int64 { return bodyMemoryBytes }},
 	}
 	n.gateway = &gatewayserver.Server{
 		Board: n.board, Allocator: n.allocator, Forwarder: n.forwarder,
 		Ready: n.mayServe, Incarnation: s.Name + "-" + n.Incarnation, PeerToken: s.PeerToken, MaxBodyBytes: int64(s.MaxBodyBytes),
+		Memory: &reserver.Reserver{Limit: func() int64 { return bodyMemoryBytes }},
 	}
 	n.syncer = &syncer.Syncer{Board: n.board, Platform: n.platform, Self: s.Name, DataCenter: s.DataCenter, Log: n.Log}
 	n.prober = &prober.Prober{
