Take no response that this process has cut for a doubt of its path

A body that gives way has its connection closed by the node itself; the read that then fails counted against the path to the runner, as a connection that broke on the way does.

--- a/internal/memory/reserver/body.go
+++ b/internal/memory/reserver/body.go
@@ -76,10 +76,11 @@
 // is none, it fails with ErrFull and returns what it has read so far. length is the announced
 // length, or below 0.
 func (h *Reservation) ReadInto(body io.Reader, length int64) ([]byte, error) {
-	b, err := h.extend(nil, firstSize(length))
-	if err == nil && length >= smallBytes {
-		b, err = h.extend(nil, int(length)+1)
+	size := firstSize(length)
+	if length >= smallBytes {
+		size = int(length) + 1
 	}
+	b, err := h.extend(nil, size)
 	for err == nil {
 		n, readErr := body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -277,6 +277,8 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		b.answer.complete = true
+	case errors.Is(err, net.ErrClosed):
+		// This process has closed the connection, which tells nothing of the server.
 	case err != nil && b.answer.cancelled() == nil:
 		b.answer.conn.path.Doubt()
 	}
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -215,7 +215,7 @@
 	}
 	n.Log.Warn("request failed", args...)
 	if f.Started {
-		noticeAttempts(w, d, c)
+		tellAttempts(w, d, c)
 		w.abort(string(f.Reason))
 	}
 	n.closeIfStopping(w.Header())
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// noticeAttempts tells the other node how often a stream that breaks off may have reached a runner:
+// tellAttempts tells the other node how often a stream that breaks off may have reached a runner:
 // it may have been sent again since its response began.
-func noticeAttempts(w *callerResponse, d *deliverer.Delivery, c *relayer.Call) {
+func tellAttempts(w *callerResponse, d *deliverer.Delivery, c *relayer.Call) {
 	if d == nil || !d.TakesNotices || c == nil || c.Route.Type != matcher.Stream {
 		return
 	}
