--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// epochsPerEra is the difference between the first epochs of two eras. An epoch of an
 	// earlier era that only a runner or an order on its way knows is thus never used again.
 	epochsPerEra = 1_000_000_000
+	// unknownHeadPrefix begins the ID that stands for a head of which only its members are known.
+	unknownHeadPrefix = "unknown head of "
 )
 
 // era returns the newest known era of the store.
@@ -151,12 +154,28 @@
 	return groups
 }
 
+// headlessReplica returns a replica whose head is not among the runners. It may serve all the
+// same, cut off from the nodes, so its members are not free before it must have broken without them.
+func headlessReplica(k replicaKey, members []*tracker.Runner) Replica {
+	r := Replica{Name: k.name, Epoch: k.epoch, State: Closing, MayOpen: true, Members: []Member{{ID: unknownHeadPrefix + k.name}}}
+	for _, x := range members {
+		r.Members = append(r.Members, Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime})
+	}
+	return r
+}
+
+// hasUnknownHead reports whether only the members of a replica are known.
+func (r *Replica) hasUnknownHead() bool { return strings.HasPrefix(r.Members[0].ID, unknownHeadPrefix) }
+
 // adoptedReplica returns a replica that the store has lost, from the runners that belong
 // to it. It returns false if the runners are free: not all members are there, and the head neither
 // serves nor is ready, so that no order to open it may be on its way.
 func adoptedReplica(k replicaKey, members []*tracker.Runner, models []matcher.Model) (Replica, bool) {
 	head := members[0]
-	if head.Membership.Rank != 0 || len(head.Models) == 0 {
+	if head.Membership.Rank != 0 {
+		return headlessReplica(k, members), true
+	}
+	if len(head.Models) == 0 {
 		return Replica{}, false
 	}
 	r := Replica{Name: k.name, Epoch: k.epoch, Model: head.Models[0], State: Closing}
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -125,7 +125,9 @@
 	if r.Graceful && !isOut && head.is(r, tracker.MemberClosing) {
 		return false
 	}
-	d.order(Order{Operation: Leave, Runner: head.member, Replica: r.Name, Epoch: r.Epoch})
+	if !r.hasUnknownHead() {
+		d.order(Order{Operation: Leave, Runner: head.member, Replica: r.Name, Epoch: r.Epoch})
+	}
 	return false
 }
 
@@ -161,9 +163,15 @@
 }
 
 // servingUnassigned returns the replicas that are not assigned and whose head still
-// serves. held are the runners that belong to an assigned replica.
+// serves, and the assigned ones, of which a claim need not have seen all members: their head may
+// serve. held are the runners that are known to belong to an assigned replica.
 func (d *decider) servingUnassigned(held map[string]bool) map[replicaKey]bool {
 	list := map[replicaKey]bool{}
+	for _, r := range d.out.Assignment.Replicas {
+		if !d.in.HeadLeft[r.Name] {
+			list[replicaKey{r.Name, r.Epoch}] = true
+		}
+	}
 	for _, x := range d.in.Runners {
 		if held[x.ID] || !x.HasMembership || x.Membership.Rank != 0 || d.in.HeadLeft[x.Membership.Replica] {
 			continue
--- a/internal/fleet/former/probe.go
+++ b/internal/fleet/former/probe.go
@@ -232,6 +232,9 @@
 }
 
 func (c *Controller) noteUnreachable(m Member) {
+	if m.Address == "" {
+		return
+	}
 	c.unreachableMu.Lock()
 	defer c.unreachableMu.Unlock()
 	if c.unreachable == nil {
--- a/internal/fleet/former/world_controller_test.go
+++ b/internal/fleet/former/world_controller_test.go
@@ -139,7 +139,7 @@
 			v := w.vms[m.ID]
 			result := Reachable
 			switch {
-			case !v.alive, w.isCutOff && !w.scenario.CutResets, time.Now().Before(v.unreachedUntil):
+			case v == nil, !v.alive, w.isCutOff && !w.scenario.CutResets, time.Now().Before(v.unreachedUntil):
 				result = NoResponse
 			case w.isCutOff:
 				result = Refused
