Reserver: say which body waits

The comment on releaseTime still told of the oldest body alone; since the last half is shared out, any body that has waited so long may have another one give way. A comment only; go test ./internal/memory/... passes.

--- a/internal/memory/reserver/reserver.go
+++ b/internal/memory/reserver/reserver.go
@@ -12,7 +12,7 @@
 const (
 	// faultyTime is for how long the bodies of a sender give way first after one that did not end.
 	faultyTime = 10 * time.Second
-	// releaseTime is how long the oldest body waits for others to be passed on before one gives way.
+	// releaseTime is how long a body waits for others to be passed on before one of them gives way.
 	releaseTime = 50 * time.Millisecond
 )
 
