--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -109,7 +109,7 @@
 	}
 	head := d.evidenceOf(r.Members[0])
 	isOut := head.isMissing() || head.isSilent
-	if d.isSilentAndMissing(r) {
+	if d.isOutOfReach(r) {
 		d.breakReplica(r)
 		if _, ok := d.in.MemberLostAt[r.Name]; ok {
 			return false
--- a/internal/fleet/former/doc.go
+++ b/internal/fleet/former/doc.go
@@ -11,11 +11,10 @@
 //
 // The head of a replica is the member that receives its requests. A member is
 // free for another replica only after the head of its previous one has left that
-// replica, has restarted, has broken, or can no longer serve: it is not listed, refuses
-// connections and has no requests left, or it has lacked a member for longer than a
-// replica can stall without breaking. The silence of a head proves nothing: a head that
-// is neither listed nor answers any node is made to break by ordering the other members
-// to leave. See docs/design/evidence.md.
+// replica, has restarted, has broken, or has lacked a member for longer than a replica can
+// stall without breaking. The silence of a head proves nothing, nor does a connection that is
+// refused: a head that is neither listed nor answers any node is made to break by ordering the
+// other members to leave. See docs/design/evidence.md.
 //
 // A domain serves one model, or all models if there are fewer domains than
 // models. If no domain serves a model, a domain is reassigned to it from a model
--- a/internal/fleet/former/evidence.go
+++ b/internal/fleet/former/evidence.go
@@ -54,7 +54,7 @@
 }
 
 // end returns what proves that a closing replica serves no more, or "" if nothing does.
-// The silence of its head towards the nodes is no proof.
+// That its head is silent or refuses connections is no proof.
 func (d *decider) end(r *Replica) string {
 	head := d.evidenceOf(r.Members[0])
 	switch {
@@ -89,14 +89,20 @@
 	return ok && d.in.Now.Sub(lost) > wait && d.in.Now.Sub(seen) > maxOrderDelay+wait
 }
 
-// isSilentAndMissing reports whether a head has no entry and answers no node, while others
-// of the domain do. It may serve all the same, cut off from both. One that refuses connections
-// isn't silent: it may be leaving, and finishes its requests.
-func (d *decider) isSilentAndMissing(r *Replica) bool {
+// isOutOfReach reports whether a head has no entry and answers no node, while others of the domain
+// do. It may serve all the same, cut off from both: a connection that is refused shows as little
+// of the replica as one that is silent. A head that refuses connections may also be leaving, and has
+// time to finish its requests.
+func (d *decider) isOutOfReach(r *Replica) bool {
 	head := r.Members[0].ID
+	if !d.evidenceOf(r.Members[0]).isMissing() || d.in.AnsweredAgo > maxAnswerAge || d.in.ReachableFor <= relistTime {
+		return false
+	}
+	if d.in.Refusing[head] {
+		return d.hasFinished(r)
+	}
 	since, ok := d.in.SilentSince[head]
-	return ok && !d.in.Refusing[head] && d.evidenceOf(r.Members[0]).isMissing() && d.in.AnsweredAgo <= maxAnswerAge &&
-		d.in.Now.Sub(since) > silenceTimeout && d.in.ReachableFor > relistTime
+	return ok && d.in.Now.Sub(since) > silenceTimeout
 }
 
 // breakReplica orders the other members of a replica to leave it, so that its head, if it
--- a/internal/fleet/former/loss.go
+++ b/internal/fleet/former/loss.go
@@ -18,7 +18,7 @@
 	// for which the silence of another runner counts.
 	maxAnswerAge = time.Second
 	// minIdleTime is how long a head that refuses connections must have had no
-	// request in flight from any node before it is considered gone.
+	// request in flight from any node before its members are ordered to leave.
 	minIdleTime = time.Second
 	// maxLeaveTime is the longest time for which a leaving head still serves
 	// requests, with a margin.
@@ -101,24 +101,20 @@
 	return formSlack
 }
 
-// isHeadGone reports whether a head without an entry can no longer serve any request: it
-// refuses connections and has no requests in flight or must have left by now, or it has been
-// silent, without an entry, for longer than any runner that lives. Other runners of the domain
-// must answer probes meanwhile: otherwise this node may have lost contact with a domain that
-// still serves requests of other nodes.
+// isHeadGone reports whether a head was silent, without an entry, for longer than any runner
+// that lives. Other runners of the domain must answer probes meanwhile: otherwise this node may have
+// lost contact with a domain that still serves requests of other nodes.
 func (d *decider) isHeadGone(r *Replica) bool {
 	since, ok := d.in.HeadMissingSince[r.Name]
-	if !ok || d.in.AnsweredAgo > maxAnswerAge {
-		return false
-	}
-	missing := d.in.Now.Sub(since)
-	if r.MayOpen && missing <= maxOrderDelay {
-		return false
-	}
-	head := r.Members[0].ID
-	if d.in.Refusing[head] {
-		idle, ok := d.in.IdleSince[head]
-		return ok && d.in.Now.Sub(idle) > minIdleTime || missing > maxLeaveTime
+	return ok && d.in.Now.Sub(since) > goneTime && d.isOutOfReach(r)
+}
+
+// hasFinished reports whether a head that refuses connections has no request in flight from any
+// node, or must have left by now if it is leaving.
+func (d *decider) hasFinished(r *Replica) bool {
+	if idle, ok := d.in.IdleSince[r.Members[0].ID]; ok && d.in.Now.Sub(idle) > minIdleTime {
+		return true
 	}
-	return missing > goneTime && d.isSilentAndMissing(r)
+	since, ok := d.in.HeadMissingSince[r.Name]
+	return ok && d.in.Now.Sub(since) > maxLeaveTime
 }
--- a/internal/fleet/former/world_controller_test.go
+++ b/internal/fleet/former/world_controller_test.go
@@ -139,9 +139,9 @@
 			v := w.vms[m.ID]
 			result := Reachable
 			switch {
-			case v == nil, !v.alive, w.isCutOff && !w.scenario.CutResets, time.Now().Before(v.unreachedUntil):
+			case v == nil, !v.alive, w.isCutOff && !w.scenario.CutResets, !w.isCutOff && !w.isReached(v) && !v.unreachedRefuses:
 				result = NoResponse
-			case w.isCutOff:
+			case !w.isReached(v):
 				result = Refused
 			case v.refuses:
 				result = Refused
@@ -165,7 +165,7 @@
 		InFlight: func(id string) int {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if v := w.vms[id]; v.alive && v.memberState == tracker.MemberOpen && !w.isCutOff {
+			if v := w.vms[id]; v.alive && v.memberState == tracker.MemberOpen && w.isReached(v) {
 				return 1
 			}
 			return 0
--- a/internal/fleet/former/world_loss_test.go
+++ b/internal/fleet/former/world_loss_test.go
@@ -53,7 +53,7 @@
 		until := time.Now().Add(seconds(w.scenario.UnreachedSeconds))
 		for _, v := range w.sorted() {
 			if w.rand.IntN(3) == 0 {
-				v.unreachedUntil = until
+				v.unreachedUntil, v.unreachedRefuses = until, w.scenario.UnreachedRefuses
 			}
 		}
 	}
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -58,6 +58,9 @@
 	// of reach of all controllers for up to UnreachedSeconds, but not of the store and each other.
 	UnreachedEvery   float64 `json:"unreached_every_s"`
 	UnreachedSeconds float64 `json:"unreached_s"`
+	// UnreachedRefuses resets the connections to runners that are out of reach. Otherwise they time
+	// out.
+	UnreachedRefuses bool `json:"unreached_refuses"`
 	// NodeCutEvery is the mean seconds between two times at which a controller is cut off from
 	// the store for up to NodeCutSeconds.
 	NodeCutEvery   float64 `json:"node_cut_every_s"`
@@ -140,8 +143,10 @@
 	// if it has none, until restoredUntil.
 	restored      *tracker.Runner
 	restoredUntil time.Time
-	// unreachedUntil is until when no controller reaches the runner.
-	unreachedUntil time.Time
+	// unreachedUntil is until when no controller reaches the runner. unreachedRefuses is set if its
+	// connections are reset meanwhile.
+	unreachedUntil   time.Time
+	unreachedRefuses bool
 	// stalledSince is when the head of an open replica lost a member.
 	stalledSince time.Time
 }
