--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -110,37 +110,34 @@
 	groups := groupRunners(runners)
 	next.Replicas = nil
 	for _, r := range a.Replicas {
-		k := replicaKey{r.Name, r.Epoch}
+		k := r.key()
 		if r.State == Forming {
 			r.State, r.MayOpen = Closing, true
 		}
 		next.Replicas = append(next.Replicas, r)
 		delete(groups, k)
 	}
-	for k, members := range groups {
-		if r, ok := adoptedReplica(k, members, models); ok {
-			next.Replicas = append(next.Replicas, r)
-		}
-	}
+	next.Replicas = append(next.Replicas, adoptedReplicas(groups, models)...)
 	slices.SortStableFunc(next.Replicas, func(x, y Replica) int { return cmp.Compare(x.Epoch, y.Epoch) })
 	return next
 }
 
-// replicaKey identifies a replica.
-type replicaKey struct {
-	name  string
-	epoch int64
-}
-
-// keyOf returns the replica that a runner belongs to.
-func keyOf(x *tracker.Runner) replicaKey {
-	return replicaKey{x.Membership.Replica, x.Membership.Epoch}
+// adoptedReplicas returns the replicas of the groups that are not free, ordered by epoch.
+func adoptedReplicas(groups map[ReplicaKey][]*tracker.Runner, models []matcher.Model) []Replica {
+	list := []Replica{}
+	for k, members := range groups {
+		if r, ok := adoptedReplica(k, members, models); ok {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(x, y Replica) int { return cmp.Or(cmp.Compare(x.Epoch, y.Epoch), cmp.Compare(x.Name, y.Name)) })
+	return list
 }
 
 // groupRunners returns the runners by their replica, ordered by rank. Warm-up groups are
 // left out.
-func groupRunners(runners []*tracker.Runner) map[replicaKey][]*tracker.Runner {
-	groups := map[replicaKey][]*tracker.Runner{}
+func groupRunners(runners []*tracker.Runner) map[ReplicaKey][]*tracker.Runner {
+	groups := map[ReplicaKey][]*tracker.Runner{}
 	for _, x := range runners {
 		if !x.HasMembership || isWarming(x) {
 			continue
@@ -156,8 +153,8 @@
 
 // headlessReplica returns a replica whose head is not among the runners. It may serve all the
 // same, cut off from the nodes, so its members are not free before it must have broken without them.
-func headlessReplica(k replicaKey, members []*tracker.Runner) Replica {
-	r := Replica{Name: k.name, Epoch: k.epoch, State: Closing, MayOpen: true, Members: []Member{{ID: unknownHeadPrefix + k.name}}}
+func headlessReplica(k ReplicaKey, members []*tracker.Runner) Replica {
+	r := Replica{Name: k.Name, Epoch: k.Epoch, State: Closing, MayOpen: true, Members: []Member{{ID: unknownHeadPrefix + k.Name}}}
 	for _, x := range members {
 		r.Members = append(r.Members, Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime})
 	}
@@ -170,7 +167,7 @@
 // adoptedReplica returns a replica that the store has lost, from the runners that belong
 // to it. It returns false if the runners are free: not all members are there, and the head neither
 // serves nor is ready, so that no order to open it may be on its way.
-func adoptedReplica(k replicaKey, members []*tracker.Runner, models []matcher.Model) (Replica, bool) {
+func adoptedReplica(k ReplicaKey, members []*tracker.Runner, models []matcher.Model) (Replica, bool) {
 	head := members[0]
 	if head.Membership.Rank != 0 {
 		return headlessReplica(k, members), true
@@ -178,7 +175,7 @@
 	if len(head.Models) == 0 {
 		return Replica{}, false
 	}
-	r := Replica{Name: k.name, Epoch: k.epoch, Model: head.Models[0], State: Closing}
+	r := Replica{Name: k.Name, Epoch: k.Epoch, Model: head.Models[0], State: Closing}
 	for _, x := range members {
 		r.Members = append(r.Members, Member{ID: x.ID, Address: x.Address, BootTime: x.BootTime})
 	}
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -39,6 +39,7 @@
 			d.out.Changed = true
 		}
 	}
+	d.adoptUnassigned()
 	free := d.free()
 	free = d.formAll(free)
 	d.stageAll(free)
@@ -107,6 +108,11 @@
 		d.note("replica %s is removed: %s", r.Name, proof)
 		return true
 	}
+	if d.isLost(r) {
+		d.note("replica %s is given up: nobody has seen its members for %v", r.Name, lostTime)
+		d.out.Assignment.Lost = d.out.Assignment.withLost(r.key())
+		return true
+	}
 	head := d.evidenceOf(r.Members[0])
 	isOut := head.isMissing() || head.isSilent
 	if d.isOutOfReach(r) {
@@ -136,12 +142,7 @@
 // it nor the members that it serves with are returned, unless it has confirmed that it
 // left and only its entry does not show it yet.
 func (d *decider) free() []*tracker.Runner {
-	held := map[string]bool{}
-	for _, r := range d.out.Assignment.Replicas {
-		for _, m := range r.Members {
-			held[m.ID] = true
-		}
-	}
+	held := d.out.Assignment.memberIDs()
 	serving := d.servingUnassigned(held)
 	list := []*tracker.Runner{}
 	for _, x := range d.in.Runners {
@@ -165,11 +166,11 @@
 // servingUnassigned returns the replicas that are not assigned and whose head still
 // serves, and the assigned ones, of which a claim need not have seen all members: their head may
 // serve. held are the runners that are known to belong to an assigned replica.
-func (d *decider) servingUnassigned(held map[string]bool) map[replicaKey]bool {
-	list := map[replicaKey]bool{}
+func (d *decider) servingUnassigned(held map[string]bool) map[ReplicaKey]bool {
+	list := map[ReplicaKey]bool{}
 	for _, r := range d.out.Assignment.Replicas {
 		if !d.in.HeadLeft[r.Name] {
-			list[replicaKey{r.Name, r.Epoch}] = true
+			list[r.key()] = true
 		}
 	}
 	for _, x := range d.in.Runners {
--- a/internal/fleet/former/evidence.go
+++ b/internal/fleet/former/evidence.go
@@ -68,8 +68,6 @@
 		return "it has broken"
 	case d.hasStalled(r):
 		return "it has stalled without a member"
-	case head.isMissing() && d.isHeadGone(r):
-		return "its head is gone"
 	}
 	return ""
 }
--- a/internal/fleet/former/evidence_test.go
+++ b/internal/fleet/former/evidence_test.go
@@ -29,10 +29,14 @@
 	Answered    float64 `json:"answered_s"`
 	Refuses     bool    `json:"refuses"`
 	Idle        float64 `json:"idle_s"`
+	// IsLost is set if d-2 was given up.
+	IsLost bool `json:"lost"`
 	// WantState is the replica's state after the decision, or "removed".
 	WantState string `json:"want"`
 	// WantOrders are the operations, runners and replicas of the orders.
 	WantOrders []string `json:"want_orders"`
+	// WantLost is the number of replicas that are given up after the decision.
+	WantLost int `json:"want_lost"`
 }
 
 type evidenceRunner struct {
@@ -62,7 +66,7 @@
 				orders = append(orders, fmt.Sprint(o.Operation, " ", o.Runner.ID, " ", o.Replica))
 			}
 			slices.Sort(orders)
-			if got != x.WantState || !slices.Equal(orders, x.WantOrders) {
+			if got != x.WantState || !slices.Equal(orders, x.WantOrders) || len(out.Assignment.Lost) != x.WantLost {
 				t.Errorf("%s, orders %q; want %s, %q; notes %q", got, orders, x.WantState, x.WantOrders, out.Notes)
 			}
 		})
@@ -90,6 +94,9 @@
 	if x.HeadLeft {
 		in.HeadLeft = map[string]bool{"d-2": true}
 	}
+	if x.IsLost {
+		in.Assignment.Lost = []ReplicaKey{{Name: "d-2", Epoch: 2}}
+	}
 	if x.State != "" {
 		old := Replica{Name: "d-2", Model: "m", Epoch: 2, State: x.State, MayOpen: x.MayOpen, Graceful: x.Graceful}
 		for _, id := range []string{"a", "b", "c"} {
@@ -104,6 +111,9 @@
 			continue
 		}
 		v := &tracker.Runner{ID: id, Address: id, BootTime: cmp.Or(r.BootTime, 2), State: tracker.Ready, StagedModels: []string{"m"}, HasMembership: r.Epoch > 0, IsKept: r.IsKept}
+		if v.HasMembership {
+			v.Models = []string{"m"}
+		}
 		v.Membership = tracker.Membership{Replica: fmt.Sprintf("d-%d", r.Epoch), Epoch: r.Epoch, Rank: i, State: r.State}
 		in.Runners = append(in.Runners, v)
 	}
--- a/internal/fleet/former/loss.go
+++ b/internal/fleet/former/loss.go
@@ -30,9 +30,9 @@
 	// after a loss of contact. A runner that is not listed before then may still
 	// serve.
 	relistTime = 3 * time.Second
-	// goneTime is how long a head must have had no entry and answered no node before it is
-	// considered gone without any other proof.
-	goneTime = 30 * time.Second
+	// lostTime is how long a head must have been missing, with no entry of any other member, before
+	// its replica is given up.
+	lostTime = 30 * time.Second
 )
 
 // closeReason returns why a replica must close, or "" if it need not, and whether it
@@ -101,12 +101,12 @@
 	return formSlack
 }
 
-// isHeadGone reports whether a head was silent, without an entry, for longer than any runner
-// that lives. Other runners of the domain must answer probes meanwhile: otherwise this node may have
-// lost contact with a domain that still serves requests of other nodes.
-func (d *decider) isHeadGone(r *Replica) bool {
+// isLost reports whether no member of a replica has had an entry for a long time. Nothing proves that
+// such a replica has ended, but there is nobody to order and nobody to free either.
+func (d *decider) isLost(r *Replica) bool {
 	since, ok := d.in.HeadMissingSince[r.Name]
-	return ok && d.in.Now.Sub(since) > goneTime && d.isOutOfReach(r)
+	return ok && d.in.Now.Sub(since) > lostTime &&
+		!slices.ContainsFunc(r.Members, func(m Member) bool { return !d.evidenceOf(m).isMissing() })
 }
 
 // hasFinished reports whether a head that refuses connections has no request in flight from any
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -58,6 +58,9 @@
 	// of an earlier era may lack changes that the store has lost.
 	Era      int64     `json:"era,omitempty"`
 	Replicas []Replica `json:"replicas"`
+	// Lost are replicas that were given up without a proof of their end. A runner that names
+	// one is not free: its head may serve.
+	Lost []ReplicaKey `json:"lost,omitempty"`
 	// Model is the only model that the domain serves. Empty means all models of the
 	// service.
 	Model string `json:"model,omitempty"`
--- a/internal/fleet/former/world_faults_test.go
+++ b/internal/fleet/former/world_faults_test.go
@@ -35,7 +35,7 @@
 		w.leaveUnannounced(w.vms[ids[w.rand.IntN(len(ids))]])
 	}
 	if len(ids) > 2 && chance(w.scenario.LapseEvery) {
-		w.lapseEntry(w.vms[ids[w.rand.IntN(len(ids))]])
+		w.lapseEntry(w.vms[ids[w.rand.IntN(len(ids))]], lapseTime)
 	}
 	if chance(w.scenario.AddEvery) {
 		w.addVM()
@@ -55,7 +55,11 @@
 		f := w.scenario.Script[w.played]
 		w.played++
 		if f.Lapse != "" {
-			w.lapseEntry(w.vms[f.Lapse])
+			w.lapseEntry(w.vms[f.Lapse], f.duration())
+		}
+		if f.Unreach != "" {
+			v := w.vms[f.Unreach]
+			v.unreachedUntil, v.unreachedRefuses = time.Now().Add(f.duration()), f.Refuses
 		}
 		if f.Crash != "" {
 			w.crash(w.vms[f.Crash])
@@ -107,15 +111,15 @@
 	}
 }
 
-// lapseEntry removes a VM from the list for 5 s, as if it had lost contact with the
+// lapseEntry removes a VM from the list for a time, as if it had lost contact with the
 // store.
-func (w *world) lapseEntry(v *vm) {
+func (w *world) lapseEntry(v *vm, d time.Duration) {
 	if w.scenario.LapseMembersOnly && (v.rank == 0 || v.memberState != tracker.MemberReady) {
 		return
 	}
 	v.listed = false
 	go func() {
-		time.Sleep(5 * time.Second)
+		time.Sleep(d)
 		w.mu.Lock()
 		v.listed = v.alive && !v.refuses
 		w.mu.Unlock()
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -94,13 +94,29 @@
 	MaxOpenOf map[string]float64 `json:"max_open_of"`
 }
 
-// scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, the runner
-// Crash crashes, or the store is restored.
+// scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, no
+// controller reaches the runner Unreach, the runner Crash crashes, or the store is restored.
 type scriptedFault struct {
 	At      float64 `json:"at_s"`
 	Lapse   string  `json:"lapse"`
-	Crash   string  `json:"crash"`
-	Restore bool    `json:"restore"`
+	Unreach string  `json:"unreach"`
+	// Seconds is how long a runner has no entry or is out of reach; 0 means lapseTime.
+	Seconds float64 `json:"for_s"`
+	// Refuses resets the connections to a runner that is out of reach.
+	Refuses bool   `json:"refuses"`
+	Crash   string `json:"crash"`
+	Restore bool   `json:"restore"`
+}
+
+// lapseTime is how long an entry that lapses is missing.
+const lapseTime = 5 * time.Second
+
+// duration returns how long a fault lasts.
+func (f scriptedFault) duration() time.Duration {
+	if f.Seconds == 0 {
+		return lapseTime
+	}
+	return time.Duration(f.Seconds * float64(time.Second))
 }
 
 // lateOrders are the orders to a runner, or to all, that are sent between two times.
