--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -94,9 +94,10 @@
 
 // claimed returns the assignment as claimed in an era. Its epoch is above all that the
 // assignment or a runner has, or that were used in earlier eras. It keeps the replicas
-// of the assignment and adds those that only the runners know. A replica that is not open is
-// closed, even if it is complete: a lost assignment may have ended it and ordered its members to
-// join others, and such an order may still be carried out.
+// of the assignment and adds those that only the runners know. Those of runners that are listed
+// later follow then: see adoptUnassigned. A replica that is not open is closed, even if it is complete:
+// a lost assignment may have ended it and ordered its members to join others, and such an order may
+// still be carried out.
 func (a Assignment) claimed(era int64, runners []*tracker.Runner, models []matcher.Model) Assignment {
 	next := a
 	next.Era = era
@@ -107,6 +108,7 @@
 		}
 	}
 	next.Epoch++
+	next.ClaimedEpoch, next.Lost, next.Ended = next.Epoch, nil, nil
 	groups := groupRunners(runners)
 	next.Replicas = nil
 	for _, r := range a.Replicas {
--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -36,6 +36,7 @@
 		if d.advance(&r) {
 			d.out.Assignment.Replicas = append(d.out.Assignment.Replicas, r)
 		} else {
+			d.out.Assignment.Ended = d.out.Assignment.withEnded(r.key())
 			d.out.Changed = true
 		}
 	}
--- a/internal/fleet/former/evidence_test.go
+++ b/internal/fleet/former/evidence_test.go
@@ -29,14 +29,19 @@
 	Answered    float64 `json:"answered_s"`
 	Refuses     bool    `json:"refuses"`
 	Idle        float64 `json:"idle_s"`
-	// IsLost is set if d-2 was given up.
-	IsLost bool `json:"lost"`
+	// IsLost is set if d-2 was given up, IsClaimed if the assignment was claimed after d-2 was
+	// formed, and HasEnded if d-2 is known to have ended since.
+	IsLost    bool `json:"lost"`
+	IsClaimed bool `json:"claimed"`
+	HasEnded  bool `json:"ended"`
 	// WantState is the replica's state after the decision, or "removed".
 	WantState string `json:"want"`
 	// WantOrders are the operations, runners and replicas of the orders.
 	WantOrders []string `json:"want_orders"`
-	// WantLost is the number of replicas that are given up after the decision.
-	WantLost int `json:"want_lost"`
+	// WantLost and WantEnded are the numbers of replicas that are given up and known to have ended after
+	// the decision.
+	WantLost  int `json:"want_lost"`
+	WantEnded int `json:"want_ended"`
 }
 
 type evidenceRunner struct {
@@ -66,7 +71,8 @@
 				orders = append(orders, fmt.Sprint(o.Operation, " ", o.Runner.ID, " ", o.Replica))
 			}
 			slices.Sort(orders)
-			if got != x.WantState || !slices.Equal(orders, x.WantOrders) || len(out.Assignment.Lost) != x.WantLost {
+			hasLists := len(out.Assignment.Lost) == x.WantLost && len(out.Assignment.Ended) == x.WantEnded
+			if got != x.WantState || !slices.Equal(orders, x.WantOrders) || !hasLists {
 				t.Errorf("%s, orders %q; want %s, %q; notes %q", got, orders, x.WantState, x.WantOrders, out.Notes)
 			}
 		})
@@ -94,15 +100,22 @@
 	if x.HeadLeft {
 		in.HeadLeft = map[string]bool{"d-2": true}
 	}
+	old := ReplicaKey{Name: "d-2", Epoch: 2}
 	if x.IsLost {
-		in.Assignment.Lost = []ReplicaKey{{Name: "d-2", Epoch: 2}}
+		in.Assignment.Lost = []ReplicaKey{old}
+	}
+	if x.IsClaimed {
+		in.Assignment.ClaimedEpoch = 3
+	}
+	if x.HasEnded {
+		in.Assignment.Ended = []ReplicaKey{old}
 	}
 	if x.State != "" {
-		old := Replica{Name: "d-2", Model: "m", Epoch: 2, State: x.State, MayOpen: x.MayOpen, Graceful: x.Graceful}
+		r := Replica{Name: "d-2", Model: "m", Epoch: 2, State: x.State, MayOpen: x.MayOpen, Graceful: x.Graceful}
 		for _, id := range []string{"a", "b", "c"} {
-			old.Members = append(old.Members, Member{ID: id, Address: id, BootTime: 2})
+			r.Members = append(r.Members, Member{ID: id, Address: id, BootTime: 2})
 		}
-		in.Assignment.Replicas = []Replica{old}
+		in.Assignment.Replicas = []Replica{r}
 	}
 	for i, r := range x.Runners {
 		id := string(rune('a' + i))
--- a/internal/fleet/former/types.go
+++ b/internal/fleet/former/types.go
@@ -61,6 +61,10 @@
 	// Lost are replicas that were given up without a proof of their end. A runner that names
 	// one is not free: its head may serve.
 	Lost []ReplicaKey `json:"lost,omitempty"`
+	// ClaimedEpoch is the epoch at which the assignment was last claimed. The store may have lost
+	// replicas up to it. Ended are those of them that are known to have ended since.
+	ClaimedEpoch int64        `json:"claimed_epoch,omitempty"`
+	Ended        []ReplicaKey `json:"ended,omitempty"`
 	// Model is the only model that the domain serves. Empty means all models of the
 	// service.
 	Model string `json:"model,omitempty"`
--- a/internal/fleet/former/unassigned.go
+++ b/internal/fleet/former/unassigned.go
@@ -25,9 +25,21 @@
 // key returns the replica's key.
 func (r *Replica) key() ReplicaKey { return ReplicaKey{r.Name, r.Epoch} }
 
-// mayServe reports whether a replica that is not assigned may serve all the same. All others were
-// removed with a proof of their end.
-func (a *Assignment) mayServe(k ReplicaKey) bool { return slices.Contains(a.Lost, k) }
+// mayServe reports whether a replica that is not assigned may serve all the same: it was given up, or
+// it is from before the last claim, which may not have seen it. All others were removed with a proof
+// of their end.
+func (a *Assignment) mayServe(k ReplicaKey) bool {
+	return slices.Contains(a.Lost, k) || k.Epoch <= a.ClaimedEpoch && !slices.Contains(a.Ended, k)
+}
+
+// withEnded returns the ended replicas and one more, if that is from before the last claim. The list
+// is not changed.
+func (a *Assignment) withEnded(k ReplicaKey) []ReplicaKey {
+	if k.Epoch > a.ClaimedEpoch || slices.Contains(a.Lost, k) || slices.Contains(a.Ended, k) {
+		return a.Ended
+	}
+	return append(slices.Clone(a.Ended), k)
+}
 
 // withLost returns the lost replicas and one more, without the oldest of more than maxLost. The
 // list is not changed.
