Form the next replica as soon as a head has confirmed that it left

Cause: a decision that ends a replica needs the head's answer to "leave", which came after the decision; the members waited for the next step, though they were free.

Change: when the answers to a decision's orders free members, the domain is decided once more in the same step.

--- a/internal/fleet/former/controller.go
+++ b/internal/fleet/former/controller.go
@@ -25,6 +25,8 @@
 	// counts as uninterrupted observation. After a longer one, the domain's runners
 	// may just have become reachable again.
 	maxDecisionGap = 2 * time.Second
+	// maxRounds is how many decisions are made for a domain in one step.
+	maxRounds = 2
 	// settleTime is how long the number of listed domains must stay the same before
 	// assignments are created.
 	settleTime = 300 * time.Millisecond
@@ -231,8 +233,7 @@
 	return s
 }
 
-// reconcile reads the assignment if needed, makes one decision for the domain,
-// stores the new assignment, and sends the orders.
+// reconcile reads the assignment if needed, and decides for the domain.
 func (c *Controller) reconcile(ctx context.Context, s *domainState, d *domain, domains []*domain) {
 	if s.ownedAt.IsZero() {
 		s.ownedAt = time.Now()
@@ -263,11 +264,21 @@
 		return
 	}
 	c.probe(ctx, s, d)
-	in := c.input(s, d, domains)
-	out := Decide(in)
+	for range maxRounds {
+		if !c.decide(ctx, s, d, domains) {
+			return
+		}
+	}
+}
+
+// decide makes one decision for the domain, stores the new assignment, and sends the orders. It
+// reports whether the members of a replica have become free by their answers, so that
+// a new replica need not wait for the next step.
+func (c *Controller) decide(ctx context.Context, s *domainState, d *domain, domains []*domain) (isFreed bool) {
+	out := Decide(c.input(s, d, domains))
 	if out.Changed {
 		if !c.storeAssignment(ctx, s, d, out.Assignment) {
-			return
+			return false
 		}
 		s.updateTimes(out.Assignment)
 	}
@@ -275,7 +286,9 @@
 		c.Log.Info("domain changes", "domain", d.name, "epoch", out.Assignment.Epoch, "runners", len(d.runners), "note", note)
 	}
 	s.assignment = out.Assignment
+	left := len(s.headLeft)
 	c.send(ctx, s, d, out.Orders)
+	return s.hasAssignment && len(s.headLeft) > left
 }
 
 func (c *Controller) reportStoreFailure(err error) {
--- a/internal/fleet/former/world_runner_test.go
+++ b/internal/fleet/former/world_runner_test.go
@@ -44,8 +44,8 @@
 
 // send delivers an order now, with a delay, or not at all.
 func (w *world) send(ctx context.Context, o Order) Result {
-	// Two orders to a runner do not arrive at the same time.
-	time.Sleep(2*time.Millisecond + time.Duration(len(o.Operation))*time.Microsecond)
+	// Two orders to a runner do not arrive at the same time, also not two of one kind for two replicas.
+	time.Sleep(2*time.Millisecond + time.Duration(len(o.Operation))*time.Microsecond + time.Duration(o.Epoch%16)*29*time.Microsecond)
 	w.mu.Lock()
 	v := w.vms[o.Runner.ID]
 	reachable := v != nil && v.alive && !v.refuses && w.isReached(v)
