--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -122,18 +122,17 @@
 			return false
 		}
 	}
-	if r.Graceful && !isOut && !head.isIn(r) {
-		return false
-	}
-	if r.Graceful && !isOut && head.is(r, tracker.MemberOpen) {
-		d.order(Order{Operation: Close, Runner: head.member, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
-		return false
-	}
-	if r.Graceful && !isOut && head.is(r, tracker.MemberClosing) {
-		return false
+	if r.Graceful && !isOut && !head.hasRestarted() {
+		switch {
+		case head.is(r, tracker.MemberOpen):
+			d.order(Order{Operation: Close, Runner: head.member, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
+			return false
+		case !head.isIn(r), head.is(r, tracker.MemberClosing):
+			return false
+		}
 	}
 	if !r.hasUnknownHead() {
-		d.order(Order{Operation: Leave, Runner: head.member, Replica: r.Name, Epoch: r.Epoch})
+		d.order(Order{Operation: Leave, Runner: head.runner(), Replica: r.Name, Epoch: r.Epoch})
 	}
 	return false
 }
--- a/internal/fleet/former/evidence.go
+++ b/internal/fleet/former/evidence.go
@@ -40,8 +40,19 @@
 // isIn reports whether the runner says that it is a member of a replica now.
 func (e evidence) isIn(r *Replica) bool { return e.isListed() && isMember(e.entry, r) }
 
-// isElsewhere reports whether the runner says that it isn't a member of a replica.
-func (e evidence) isElsewhere(r *Replica) bool { return e.isListed() && !isMember(e.entry, r) }
+// isElsewhere reports whether the member's start says that it isn't a member of a replica.
+func (e evidence) isElsewhere(r *Replica) bool {
+	return e.isListed() && !e.hasRestarted() && !isMember(e.entry, r)
+}
+
+// runner returns where orders to the member go: to its later start if there is one, which has
+// seen no fence yet and obeys late orders to the one before.
+func (e evidence) runner() Member {
+	if !e.hasRestarted() {
+		return e.member
+	}
+	return Member{ID: e.member.ID, Address: e.entry.Address, BootTime: e.entry.BootTime}
+}
 
 // is reports whether the runner says that it is a member of a replica, in a state.
 func (e evidence) is(r *Replica, state tracker.MemberState) bool {
@@ -54,14 +65,14 @@
 }
 
 // end returns what proves that a closing replica serves no more, or "" if nothing does.
-// That its head is silent or refuses connections is no proof.
+// That its head is silent or refuses connections is no proof. Nor is a later start of the head: it may
+// carry out a late join and a late open of this replica until it has confirmed an order to leave, whose
+// fence ends those.
 func (d *decider) end(r *Replica) string {
 	head := d.evidenceOf(r.Members[0])
 	switch {
 	case d.in.HeadLeft[r.Name]:
 		return "its head has left"
-	case head.hasRestarted():
-		return "its head has started anew"
 	case head.isElsewhere(r):
 		return "its head is not in it"
 	case head.is(r, tracker.MemberBroken):
@@ -80,7 +91,7 @@
 		return false
 	}
 	wait := d.in.StallTime + stallMargin
-	if !r.MayOpen {
+	if !r.MayOpen && !d.evidenceOf(r.Members[0]).hasRestarted() {
 		return d.in.Now.Sub(lost) > wait
 	}
 	seen, ok := d.in.FirstSeen[r.Name]
@@ -108,7 +119,7 @@
 func (d *decider) breakReplica(r *Replica) {
 	for _, m := range r.Members[1:] {
 		if e := d.evidenceOf(m); e.isIn(r) && !e.isSilent {
-			d.order(Order{Operation: Leave, Runner: m, Replica: r.Name, Epoch: r.Epoch})
+			d.order(Order{Operation: Leave, Runner: e.runner(), Replica: r.Name, Epoch: r.Epoch})
 		}
 	}
 }
--- a/internal/fleet/former/loss.go
+++ b/internal/fleet/former/loss.go
@@ -88,7 +88,7 @@
 // open.
 func (d *decider) mayOpen(r *Replica) bool {
 	head := d.evidenceOf(r.Members[0])
-	return !head.isListed() || head.isIn(r) && !head.is(r, tracker.MemberJoining)
+	return !head.isListed() || head.hasRestarted() || head.isIn(r) && !head.is(r, tracker.MemberJoining)
 }
 
 // formTimeout returns how long a replica of a model may take to form.
--- a/internal/fleet/former/observed_test.go
+++ b/internal/fleet/former/observed_test.go
@@ -1,7 +1,9 @@
 package former
 
 import (
+	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +74,24 @@
 	}
 }
 
+// TestLeaveOfALaterStartIsSentAtOnce guards against members that wait because a head was ordered to
+// leave shortly before it started anew.
+func TestLeaveOfALaterStartIsSentAtOnce(t *testing.T) {
+	c, s, d := observing(0)
+	starts := []int64{}
+	c.Log = slog.New(slog.DiscardHandler)
+	c.Send = func(_ context.Context, o Order) Result {
+		starts = append(starts, o.Runner.BootTime)
+		return NoAnswer
+	}
+	for _, boot := range []int64{1, 1, 2} {
+		c.send(t.Context(), s, d, []Order{{Operation: Leave, Runner: Member{ID: "a", BootTime: boot}, Replica: "d-2", Epoch: 2}})
+	}
+	if !slices.Equal(starts, []int64{1, 2}) {
+		t.Errorf("orders were sent to the starts %v, want 1 and 2", starts)
+	}
+}
+
 // TestPauseOfASoundRunnerIsNoDeath guards against replicas that are closed, with all their streams,
 // because a member has paused for about a second.
 func TestPauseOfASoundRunnerIsNoDeath(t *testing.T) {
--- a/internal/fleet/former/send.go
+++ b/internal/fleet/former/send.go
@@ -20,7 +20,7 @@
 	results, answeredAt := make([]Result, len(orders)), make([]time.Time, len(orders))
 	wg := sync.WaitGroup{}
 	for i, o := range orders {
-		k := orderKey{o.Operation, o.Runner.ID, o.Epoch, o.Model}
+		k := orderKey{o.Operation, o.Runner.ID, o.Runner.BootTime, o.Epoch, o.Model}
 		if at, ok := s.sentAt[k]; ok && now.Sub(at) < resendInterval {
 			results[i] = Accepted
 			continue
--- a/internal/fleet/former/state.go
+++ b/internal/fleet/former/state.go
@@ -101,8 +101,10 @@
 type orderKey struct {
 	operation Operation
 	runner    string
-	epoch     int64
-	model     string
+	// bootTime tells the starts of a runner apart: a later one has seen none of the orders before.
+	bootTime int64
+	epoch    int64
+	model    string
 }
 
 // updateTimes records when new replicas were first seen. It drops the times of
