--- a/internal/fleet/former/decide.go
+++ b/internal/fleet/former/decide.go
@@ -122,7 +122,7 @@
 			return false
 		}
 	}
-	if r.Graceful && !isOut && !head.hasRestarted() {
+	if r.Graceful && !isOut && !head.hasRestarted() && !head.isOfAnotherStart() {
 		switch {
 		case head.is(r, tracker.MemberOpen):
 			d.order(Order{Operation: Close, Runner: head.member, Replica: r.Name, Epoch: r.Epoch, Graceful: true})
--- a/internal/fleet/former/evidence.go
+++ b/internal/fleet/former/evidence.go
@@ -28,13 +28,22 @@
 func (e evidence) isMissing() bool { return e.entry == nil }
 
 // isListed reports whether the store lists the runner, which thus renews its entry. A kept
-// entry has lapsed since and tells nothing of what the runner does now.
-func (e evidence) isListed() bool { return e.entry != nil && !e.entry.IsKept }
+// entry has lapsed since, and one of an earlier start is older than what is known: neither
+// tells what the runner does now.
+func (e evidence) isListed() bool {
+	return e.entry != nil && !e.entry.IsKept && e.entry.BootTime >= e.member.BootTime
+}
 
 // hasRestarted reports whether the member's start has ended. A later start proves that
 // for good, so that a kept entry of one counts too.
 func (e evidence) hasRestarted() bool {
-	return e.entry != nil && e.entry.BootTime > e.member.BootTime || e.isListed() && e.entry.BootTime != e.member.BootTime
+	return e.entry != nil && e.entry.BootTime > e.member.BootTime
+}
+
+// isOfAnotherStart reports whether the store lists an entry of another start than the member's. One
+// that seems earlier may be that of a later start whose clock is behind.
+func (e evidence) isOfAnotherStart() bool {
+	return e.entry != nil && !e.entry.IsKept && e.entry.BootTime != e.member.BootTime
 }
 
 // isIn reports whether the runner says that it is a member of a replica now.
--- a/internal/fleet/former/loss.go
+++ b/internal/fleet/former/loss.go
@@ -42,7 +42,7 @@
 	for i, m := range r.Members {
 		e := d.evidenceOf(m)
 		switch {
-		case e.hasRestarted():
+		case e.hasRestarted(), e.isOfAnotherStart():
 			return "member " + m.ID + " has started anew", false
 		case e.isMissing() && i > 0 && r.State == Open && d.in.UnlistedAlive[m.ID]:
 			// The member still answers probes; only its entry in the list is missing.
--- a/internal/fleet/former/observed_test.go
+++ b/internal/fleet/former/observed_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// TestEntryOfAnEarlierStartProvesNothing guards against replicas that end because the store still lists
+// what a member wrote before it was started again: the node that claimed asked the member itself.
+func TestEntryOfAnEarlierStartProvesNothing(t *testing.T) {
+	c, s, d := observing(0)
+	s.assignment.Replicas[0].Members[1].BootTime = 2
+	if in := c.input(s, d, nil); len(in.MemberLostAt) != 0 {
+		t.Errorf("an entry of an earlier start: lost since %v", in.MemberLostAt)
+	}
+	d.runners[0].BootTime = 3
+	if in := c.input(s, d, nil); len(in.MemberLostAt) != 1 {
+		t.Error("a later start is no loss")
+	}
+}
+
 // TestLeaveOfALaterStartIsSentAtOnce guards against members that wait because a head was ordered to
 // leave shortly before it started anew.
 func TestLeaveOfALaterStartIsSentAtOnce(t *testing.T) {
