Play all combinations of failing links for one replica

TestWorlds had silent and refused cuts, but no world in which the links of a head failed in one way, its entry in another and orders in a third while its replica went on. Three faults of one class came one after the other, each found by somebody else.

The model of runners knows links that refuse new connections only, reset all or lose the answers, and members that are cut off from their head.

--- a/internal/fleet/former/world_controller_test.go
+++ b/internal/fleet/former/world_controller_test.go
@@ -139,10 +139,14 @@
 			v := w.vms[m.ID]
 			result := Reachable
 			switch {
-			case v == nil, !v.alive, w.isCutOff && !w.scenario.CutResets, !w.isCutOff && !w.isReached(v) && !v.unreachedRefuses:
+			case v == nil, !v.alive, w.isCutOff && !w.scenario.CutResets:
 				result = NoResponse
-			case !w.isReached(v):
+			case w.isCutOff:
+				result = Refused
+			case !w.isReached(v) && (v.unreachedAs == linkRefused || v.unreachedAs == linkReset):
 				result = Refused
+			case !w.isReached(v):
+				result = NoResponse
 			case v.refuses:
 				result = Refused
 			}
@@ -165,7 +169,7 @@
 		InFlight: func(id string) int {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if v := w.vms[id]; v.alive && v.memberState == tracker.MemberOpen && w.isReached(v) {
+			if v := w.vms[id]; v.alive && v.memberState == tracker.MemberOpen && (w.isReached(v) || !w.isCutOff && v.unreachedAs == linkRefused) {
 				return 1
 			}
 			return 0
--- a/internal/fleet/former/world_faults_test.go
+++ b/internal/fleet/former/world_faults_test.go
@@ -58,8 +58,13 @@
 			w.lapseEntry(w.vms[f.Lapse], f.duration())
 		}
 		if f.Unreach != "" {
-			v := w.vms[f.Unreach]
-			v.unreachedUntil, v.unreachedRefuses = time.Now().Add(f.duration()), f.Refuses
+			w.vms[f.Unreach].unreach(f.As, f.duration())
+		}
+		if f.Partition != "" {
+			w.vms[f.Partition].partitionedUntil = time.Now().Add(f.duration())
+		}
+		if f.Away {
+			w.loseStore(f.duration())
 		}
 		if f.Crash != "" {
 			w.crash(w.vms[f.Crash])
--- a/internal/fleet/former/world_loss_test.go
+++ b/internal/fleet/former/world_loss_test.go
@@ -53,7 +53,7 @@
 		until := time.Now().Add(seconds(w.scenario.UnreachedSeconds))
 		for _, v := range w.sorted() {
 			if w.rand.IntN(3) == 0 {
-				v.unreachedUntil, v.unreachedRefuses = until, w.scenario.UnreachedRefuses
+				v.unreach(w.scenario.UnreachedAs, time.Until(until))
 			}
 		}
 	}
@@ -132,7 +132,7 @@
 
 func (w *world) lacksMember(head *vm) bool {
 	for _, id := range head.members {
-		if m := w.vms[id]; !m.alive || m.replica != head.replica || m.epoch != head.epoch {
+		if m := w.vms[id]; !m.alive || m.replica != head.replica || m.epoch != head.epoch || time.Now().Before(m.partitionedUntil) {
 			return true
 		}
 	}
--- a/internal/fleet/former/world_runner_test.go
+++ b/internal/fleet/former/world_runner_test.go
@@ -55,6 +55,9 @@
 	if d := w.lateBy(o); d > 0 {
 		late, delay = reachable, d
 	}
+	if v != nil && v.alive && !v.refuses && !w.isCutOff && !w.isReached(v) && v.unreachedAs == linkOneWay {
+		late, delay = true, time.Duration(v.number)*time.Microsecond
+	}
 	w.mu.Unlock()
 	if late {
 		go func() {
--- a/internal/fleet/former/world_scenario_test.go
+++ b/internal/fleet/former/world_scenario_test.go
@@ -58,9 +58,8 @@
 	// of reach of all controllers for up to UnreachedSeconds, but not of the store and each other.
 	UnreachedEvery   float64 `json:"unreached_every_s"`
 	UnreachedSeconds float64 `json:"unreached_s"`
-	// UnreachedRefuses resets the connections to runners that are out of reach. Otherwise they time
-	// out.
-	UnreachedRefuses bool `json:"unreached_refuses"`
+	// UnreachedAs is how runners are out of reach; empty means linkSilent.
+	UnreachedAs linkFault `json:"unreached_as"`
 	// NodeCutEvery is the mean seconds between two times at which a controller is cut off from
 	// the store for up to NodeCutSeconds.
 	NodeCutEvery   float64 `json:"node_cut_every_s"`
@@ -95,17 +94,40 @@
 }
 
 // scriptedFault is one entry of a scenario's script: the entry of the runner Lapse lapses, no
-// controller reaches the runner Unreach, the runner Crash crashes, or the store is restored.
+// controller reaches the runner Unreach, the runner Crash crashes, or the store is restored or away.
 type scriptedFault struct {
 	At      float64 `json:"at_s"`
 	Lapse   string  `json:"lapse"`
 	Unreach string  `json:"unreach"`
 	// Seconds is how long a runner has no entry or is out of reach; 0 means lapseTime.
 	Seconds float64 `json:"for_s"`
-	// Refuses resets the connections to a runner that is out of reach.
-	Refuses bool   `json:"refuses"`
-	Crash   string `json:"crash"`
-	Restore bool   `json:"restore"`
+	// As is how a runner is out of reach; empty means linkSilent.
+	As      linkFault `json:"as"`
+	Crash   string    `json:"crash"`
+	Restore bool      `json:"restore"`
+	// Partition is a runner that is cut off from the head of its replica.
+	Partition string `json:"partition"`
+	// Away is set if the store is away from all for Seconds.
+	Away bool `json:"away"`
+}
+
+// linkFault is how the link between the controllers and a runner fails.
+type linkFault string
+
+const (
+	// linkSilent: no byte passes.
+	linkSilent linkFault = "silent"
+	// linkRefused: new connections are refused, and open ones live on.
+	linkRefused linkFault = "refused"
+	// linkReset: new connections are refused, and open ones are reset.
+	linkReset linkFault = "reset"
+	// linkOneWay: what is sent arrives, and no answer comes back.
+	linkOneWay linkFault = "one_way"
+)
+
+// unreach puts the runner out of reach of all controllers for a time.
+func (v *vm) unreach(as linkFault, d time.Duration) {
+	v.unreachedUntil, v.unreachedAs = time.Now().Add(d), as
 }
 
 // lapseTime is how long an entry that lapses is missing.
@@ -159,10 +181,11 @@
 	// if it has none, until restoredUntil.
 	restored      *tracker.Runner
 	restoredUntil time.Time
-	// unreachedUntil is until when no controller reaches the runner. unreachedRefuses is set if its
-	// connections are reset meanwhile.
-	unreachedUntil   time.Time
-	unreachedRefuses bool
+	// unreachedUntil is until when no controller reaches the runner, and unreachedAs how.
+	unreachedUntil time.Time
+	unreachedAs    linkFault
+	// partitionedUntil is until when the runner is cut off from the head of its replica.
+	partitionedUntil time.Time
 	// stalledSince is when the head of an open replica lost a member.
 	stalledSince time.Time
 }
