Send the configuration to a node that stays behind, whatever the store has (CONFIG)

Callers were served with a withdrawn key beyond the bound in a data centre whose nodes the store turned away, while the nodes of the others had the newer configuration 0.2 s after it was sent.

Cause: nodes that can't read the store wait for one of their data centre that can, and try one after the other (fallbackAge). Another data centre's nodes know from heartbeats that they are behind, and could send the object, but did so only when the store itself lacked it (a restored store).

Ruled out: letting all nodes call the store at once (its rate is for all of them, and none may reach it), and refusing keys sooner on old copies (every outage of the store would cost callers a second and a half more).

Change: a node that has been behind for 0.5 s is sent the configuration by one of the nodes that use it, of any data centre.

--- a/internal/node/server/catalogs.go
+++ b/internal/node/server/catalogs.go
@@ -13,9 +13,14 @@
 	"marjorammoor/internal/store/sequencer"
 )
 
-// sendCatalogInterval is the shortest time between two times at which the configuration is
-// sent to the same node.
-const sendCatalogInterval = 400 * time.Millisecond
+const (
+	// sendCatalogInterval is the shortest time between two times at which the configuration is
+	// sent to the same node.
+	sendCatalogInterval = 400 * time.Millisecond
+	// maxBehindTime is how long a node may use an older configuration than the store has before it
+	// is sent the newer one. Nodes that reach the store, or one that does, need less.
+	maxBehindTime = 500 * time.Millisecond
+)
 
 // catalogVersions is what this node knows of the configuration's versions. The operators
 // number them, so their order holds whatever the store forgets.
@@ -32,6 +37,9 @@
 	unused atomic.Pointer[sequencer.Position]
 
 	mu sync.Mutex
+	// behindSince is since when other nodes are known to use an older configuration than this one, by
+	// node name.
+	behindSince map[string]time.Time
 	// sentAt is when the configuration was last sent to a node, by node name.
 	sentAt map[string]time.Time
 }
@@ -174,8 +182,9 @@
 	return version >= n.newestVersion() && n.versions.unused.Load() == nil
 }
 
-// recordCatalogVersion records the version that another node uses. If that node and the
-// store lack the one in use here, a single node sends it.
+// recordCatalogVersion records the version that another node uses. If that node lacks the one in use
+// here, and so does the store or the node has been behind for long, a single node sends it: the store
+// may turn all nodes of a data centre away.
 func (n *Node) recordCatalogVersion(b *beater.Heartbeat) {
 	for {
 		newest := n.versions.newestVersion.Load()
@@ -184,7 +193,9 @@
 		}
 	}
 	own := n.catalogVersion()
-	if b.CatalogVersion >= own || own <= n.versions.storedVersion.Load() || b.Era != n.Platform.Eras.Newest() {
+	isBehind := b.CatalogVersion < own && b.Era == n.Platform.Eras.Newest()
+	isLate := n.versions.behindFor(b.Node, isBehind) > maxBehindTime
+	if !isBehind || own <= n.versions.storedVersion.Load() && !isLate {
 		return
 	}
 	if n.sendsCatalog(b.Node) && n.versions.mayResend(b.Node) {
@@ -210,10 +221,30 @@
 		return
 	}
 	if err := n.beater.SendObject(b.Node, *o); err != nil {
-		n.Log.Warn("configuration that the store lacks cannot be sent", "peer", b.Node, "version", n.catalogVersion(), "error", err)
+		n.Log.Warn("configuration that a node lacks cannot be sent", "peer", b.Node, "version", n.catalogVersion(), "error", err)
 		return
 	}
-	n.Log.Info("configuration that the store lacks is sent", "peer", b.Node, "version", n.catalogVersion(), "stored_version", n.versions.storedVersion.Load(), "peer_version", b.CatalogVersion)
+	n.Log.Info("configuration that a node lacks is sent", "peer", b.Node, "version", n.catalogVersion(), "stored_version", n.versions.storedVersion.Load(), "peer_version", b.CatalogVersion)
+}
+
+// behindFor records whether a node uses an older configuration than this one, and returns how long it
+// is known to.
+func (v *catalogVersions) behindFor(node string, isBehind bool) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !isBehind {
+		delete(v.behindSince, node)
+		return 0
+	}
+	since, ok := v.behindSince[node]
+	if !ok {
+		if v.behindSince == nil {
+			v.behindSince = map[string]time.Time{}
+		}
+		since = time.Now()
+		v.behindSince[node] = since
+	}
+	return time.Since(since)
 }
 
 // mayResend reports whether the configuration was not sent to a node lately.
