Adopt no two replicas of one name

Entries of another writer may name one replica with two epochs. An assignment with a name twice can't be read, so nothing would be decided for the domain any more.

Change: a name that is used already is left out. The bound on the number of given-up replicas isn't checked on reading: a later version may remember more, and both run side by side during an upgrade.

--- a/internal/fleet/former/checked.go
+++ b/internal/fleet/former/checked.go
@@ -49,9 +49,6 @@
 		}
 		names[r.Name] = true
 	}
-	if len(a.Lost) > maxLost {
-		return trace.BadParameter("lost: %d replicas, at most %d are allowed", len(a.Lost), maxLost)
-	}
 	return nil
 }
 
--- a/internal/fleet/former/claim.go
+++ b/internal/fleet/former/claim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -119,21 +120,32 @@
 		next.Replicas = append(next.Replicas, r)
 		delete(groups, k)
 	}
-	next.Replicas = append(next.Replicas, adoptedReplicas(groups, models)...)
+	next.adopt(groups, models)
 	slices.SortStableFunc(next.Replicas, func(x, y Replica) int { return cmp.Compare(x.Epoch, y.Epoch) })
 	return next
 }
 
-// adoptedReplicas returns the replicas of the groups that are not free, ordered by epoch.
-func adoptedReplicas(groups map[ReplicaKey][]*tracker.Runner, models []matcher.Model) []Replica {
-	list := []Replica{}
-	for k, members := range groups {
-		if r, ok := adoptedReplica(k, members, models); ok {
-			list = append(list, r)
+// adopt adds the replicas of the groups that are not free, and returns them ordered by epoch. One
+// whose name is used already is left out: entries of other writers may name anything.
+func (a *Assignment) adopt(groups map[ReplicaKey][]*tracker.Runner, models []matcher.Model) []Replica {
+	used := map[string]bool{}
+	for _, r := range a.Replicas {
+		used[r.Name] = true
+	}
+	keys := slices.SortedFunc(maps.Keys(groups), func(x, y ReplicaKey) int {
+		return cmp.Or(cmp.Compare(x.Epoch, y.Epoch), cmp.Compare(x.Name, y.Name))
+	})
+	adopted := []Replica{}
+	for _, k := range keys {
+		r, ok := adoptedReplica(k, groups[k], models)
+		if !ok || used[r.Name] {
+			continue
 		}
+		used[r.Name] = true
+		adopted = append(adopted, r)
 	}
-	slices.SortFunc(list, func(x, y Replica) int { return cmp.Or(cmp.Compare(x.Epoch, y.Epoch), cmp.Compare(x.Name, y.Name)) })
-	return list
+	a.Replicas = append(slices.Clone(a.Replicas), adopted...)
+	return adopted
 }
 
 // groupRunners returns the runners by their replica, ordered by rank. Warm-up groups are
--- a/internal/fleet/former/claim_test.go
+++ b/internal/fleet/former/claim_test.go
@@ -74,3 +74,19 @@
 		})
 	}
 }
+
+// TestAdoptedNamesAreUnique guards against an assignment that no node can use, because entries of
+// other writers name one replica with two epochs.
+func TestAdoptedNamesAreUnique(t *testing.T) {
+	groups := map[ReplicaKey][]*tracker.Runner{}
+	for epoch := range int64(3) {
+		x := &tracker.Runner{ID: fmt.Sprint("r", epoch), HasMembership: true, Models: []string{"m"}}
+		x.Membership = tracker.Membership{Replica: "d-1", Epoch: epoch, State: tracker.MemberOpen}
+		groups[keyOf(x)] = append(groups[keyOf(x)], x)
+	}
+	a := Assignment{Service: "s", Domain: "d"}
+	adopted := a.adopt(groups, []matcher.Model{{Name: "m", Size: 1}})
+	if err := a.check(assignmentName("s", "d")); err != nil || len(adopted) != 1 || len(a.Replicas) != 1 {
+		t.Errorf("adopted %v, assigned %v: %v", adopted, a.Replicas, err)
+	}
+}
--- a/internal/fleet/former/doc.go
+++ b/internal/fleet/former/doc.go
@@ -10,8 +10,8 @@
 // a while without harm.
 //
 // The head of a replica is the member that receives its requests. A member is
-// free for another replica only after the head of its previous one has left that
-// replica, has restarted, has broken, or has lacked a member for longer than a replica can
+// free for another replica only after the head of its previous one, or a later start of that
+// head, has left it, or it has broken, or it has lacked a member for longer than a replica can
 // stall without breaking. The silence of a head proves nothing, nor does a connection that is
 // refused: a head that is neither listed nor answers any node is made to break by ordering the
 // other members to leave. See docs/design/evidence.md.
--- a/internal/fleet/former/unassigned.go
+++ b/internal/fleet/former/unassigned.go
@@ -10,8 +10,7 @@
 // the size of the object where VMs are lost for good for years.
 const maxLost = 64
 
-// ReplicaKey identifies a replica. The name of a replica is used again only after a restore of the
-// store.
+// ReplicaKey identifies a replica of a domain.
 type ReplicaKey struct {
 	Name  string `json:"name"`
 	Epoch int64  `json:"epoch"`
@@ -64,10 +63,9 @@
 			named = append(named, x)
 		}
 	}
-	for _, r := range adoptedReplicas(groupRunners(named), d.in.Engine.Models) {
+	for _, r := range a.adopt(groupRunners(named), d.in.Engine.Models) {
 		// Orders of other nodes that are on their way carry a lower fence.
 		a.Epoch++
-		a.Replicas = append(a.Replicas, r)
 		a.Lost = slices.DeleteFunc(slices.Clone(a.Lost), func(k ReplicaKey) bool { return k == r.key() })
 		d.out.Changed = true
 		d.note("replica %s of %v is taken over as %s: it may serve", r.Name, ids(r.Members), r.State)
