Bound the connections of callers and of other nodes

What callers saw: whoever opens connections and sends nothing, or stops before the end of a request, kept them for ever. A node accepted all of them, until no descriptor was left for callers, runners and the store.

Cause: callerListener.Accept took every connection, and nothing read limits.max_open_files.

memory/divider is now the one place that knows the memory and the sockets of the VM and gives out shares of them. network/acceptor accepts up to such a share at each port. Beyond seven eighths of it connections give way to new ones: requests that have stalled for a second, largest first; idle connections, first of the address that has most of them; at last requests that still arrive. One that serves a request never does; if all do, the new one is closed unread. A request that has arrived in part is answered 503 gave_way, which is true: no runner has seen it.

Ruled out: netutil.LimitListener, which stops accepting at its limit, so that callers who hold connections keep out all others. Closing the oldest: that is a sound caller's as often as not.

TestConnectionsGiveWayInOrder has the order.

--- a/internal/gateway/responder/responder.go
+++ b/internal/gateway/responder/responder.go
@@ -93,6 +93,7 @@
 	ReasonPartBlocked           Reason = "prompt_part_blocked"
 	ReasonRequestBlocked        Reason = "request_blocked"
 	ReasonOutOfMemory           Reason = "out_of_memory"
+	ReasonGaveWay               Reason = "gave_way"
 	ReasonInternal              Reason = "internal"
 )
 
--- a/internal/node/server/build.go
+++ b/internal/node/server/build.go
@@ -1,10 +1,10 @@
 package server
 
 import (
-	"math"
 	"time"
 
 	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/memory/divider"
 	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/requester"
 	"marjorammoor/internal/peer/beater"
@@ -38,10 +38,10 @@
 	n.balancer.Nodes = func(dataCenter string) []string { return n.beater.Nodes(dataCenter) }
 	n.tracker.Changed = n.balancer.Dispatch
 	n.breaker = &breaker.Breaker{HasEnded: n.hasEnded, MayTry: n.triesBlocked, Log: n.Log}
-	n.requestMemory = &reserver.Reserver{Limit: func() int64 { return n.memoryShare(requestMemoryShare) }}
+	n.requestMemory = &reserver.Reserver{Limit: func() int64 { return n.shares().Bytes(divider.RequestBodies) }}
 	n.relayer = &relayer.Relayer{
 		Balancer: n.balancer, Breaker: n.breaker, Client: n.Client, Peers: n.deliverer, Leaving: n.recordLeaving, Wire: p.Wire, Budget: n.budget, StopsAt: n.stopsAt, Log: n.Log,
-		Memory: &reserver.Reserver{Limit: func() int64 { return n.memoryShare(responseMemoryShare) }},
+		Memory: &reserver.Reserver{Limit: func() int64 { return n.shares().Bytes(divider.ResponseBodies) }},
 	}
 	n.catalogs = &follower.Follower{
 		Kind: p.CatalogKind, Store: p.Store, Wait: catalogWait, Log: n.Log,
@@ -88,11 +88,8 @@
 	}
 }
 
-// memoryShare returns a fraction of the memory that the process may have, in bytes. Without such a
-// setting there is no bound.
-func (n *Node) memoryShare(share float64) int64 {
-	if n.bounds().MemoryBytes <= 0 {
-		return math.MaxInt64
-	}
-	return int64(float64(n.bounds().MemoryBytes) * share)
+// shares returns how the memory and the sockets of the VM are divided now.
+func (n *Node) shares() *divider.Divider {
+	b := n.bounds()
+	return &divider.Divider{Memory: b.MemoryBytes, Sockets: b.Sockets}
 }
--- a/internal/node/server/caller_conn.go
+++ b/internal/node/server/caller_conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marjorammoor/internal/network/acceptor"
 	"marjorammoor/internal/serving/matcher"
 )
 
@@ -30,6 +31,9 @@
 // headerTimeoutResponse answers a request whose header does not arrive in time.
 const headerTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// gaveWayResponse answers a request whose header has not arrived whole when its connection gives way.
+const gaveWayResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 var (
 	idleClosed   = metrics.NewCounter(`marjorammoor_caller_connections_closed_total{reason="idle"}`)
 	headerClosed = metrics.NewCounter(`marjorammoor_caller_connections_closed_total{reason="header_timeout"}`)
@@ -68,7 +72,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		phase, deadline := c.setDeadline()
-		n, err := c.TCPConn.Read(p)
+		n, err := c.Conn.Read(p)
 		if phase == phaseIdle && n > 0 && c.isBetweenRequests() {
 			if n = skipEmptyLines(p[:n]); n == 0 && err == nil {
 				continue
@@ -78,6 +82,9 @@
 			c.receive(p[:n])
 			return n, err
 		}
+		if phase == phaseHeader && errors.Is(err, acceptor.ErrGaveWay) {
+			_, _ = c.Write([]byte(gaveWayResponse))
+		}
 		if phase == phaseServing || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -127,7 +134,7 @@
 // passed returns none of it.
 func (c *callerConn) readLast(p []byte) (int, error) {
 	_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if c.isBetweenRequests() {
 		n = skipEmptyLines(p[:n])
 	}
@@ -207,14 +214,14 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	tcp, ok := c.(*net.TCPConn)
+	nc, err := l.Listener.Accept()
+	c, ok := nc.(*acceptor.Conn)
 	if err != nil || !ok {
-		return c, err
+		return nc, err
 	}
 	limits := l.limits()
 	return &callerConn{
-		watchedConn: watchedConn{TCPConn: tcp, port: callerPort, record: l.record},
+		watchedConn: watchedConn{Conn: c, port: callerPort, record: l.record},
 		limits:      l.limits, since: time.Now(), allowed: limits.IdleTimeout,
 	}, nil
 }
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -14,6 +14,7 @@
 
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/memory/reserver"
+	"marjorammoor/internal/network/acceptor"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
@@ -102,6 +103,10 @@
 		return
 	}
 	in.Body = body
+	if c := acceptedConn(r.Context()); c != nil && !c.Serve() {
+		n.fail(w, nil, d, gaveWay(in))
+		return
+	}
 	call, failure := n.admitter.Admit(in)
 	if failure == nil {
 		failure = n.stopRefusal(call)
@@ -136,6 +141,8 @@
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
+	case errors.Is(err, acceptor.ErrGaveWay):
+		return nil, gaveWay(in)
 	case errors.Is(err, reserver.ErrFull):
 		return nil, &responder.Failure{
 			Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: responder.ReasonOutOfMemory, Message: err.Error(), RequestID: in.ID, RetryAfter: memoryRetryAfter,
@@ -144,6 +151,13 @@
 	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
 
+// gaveWay returns the failure of a request whose connection gives way to others.
+func gaveWay(in *admitter.Incoming) *responder.Failure {
+	return &responder.Failure{
+		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: responder.ReasonGaveWay, Message: acceptor.ErrGaveWay.Error(), RequestID: in.ID, RetryAfter: memoryRetryAfter,
+	}
+}
+
 // serveCall sends an admitted call to a runner and writes the response.
 func (n *Node) serveCall(ctx context.Context, w *callerResponse, c *relayer.Call, d *deliverer.Delivery) {
 	status := 0
--- /dev/null
+++ b/internal/node/server/listen.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/memory/divider"
+	"marjorammoor/internal/network/acceptor"
+)
+
+const (
+	// checkTimeout is the maximum time for a request of readiness or metrics, and for how long such
+	// a connection may be idle.
+	checkTimeout = 10 * time.Second
+	// checkHeadBytes is the maximum size of such a request's head.
+	checkHeadBytes = 8 << 10
+)
+
+// listen listens on an address. The port, which gets its share of the sockets, is for the log.
+func (n *Node) listen(address, port string, share divider.Sockets) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &acceptor.Listener{
+		Listener:  l,
+		Max:       func() int { return n.shares().Connections(share) },
+		OnGiveWay: func(c *acceptor.Conn, reason acceptor.Reason) { n.recordGivenWay(c, port, reason) },
+	}, nil
+}
+
+func (n *Node) listenToCallers() (net.Listener, error) {
+	l, err := n.listen(n.Settings.CallerAddress, callerPort, divider.Callers)
+	if err != nil {
+		return nil, err
+	}
+	return &callerListener{Listener: l, limits: n.callerLimits, record: n.recordUnhandled}, nil
+}
+
+// recordGivenWay counts and logs a connection that is closed for the sake of others.
+func (n *Node) recordGivenWay(c *acceptor.Conn, port string, reason acceptor.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_connections_given_way_total{port=%q,reason=%q}`, port, string(reason))).Inc()
+	if n.givenWayLog.take() {
+		n.Log.Warn("connection gives way to others", "port", port, "address", c.RemoteAddr().String(), "reason", reason, "stopping", n.isStopping())
+	}
+}
+
+// serve serves until the server is closed.
+func serve(s *http.Server, l net.Listener, failed chan<- error) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- err
+	}
+}
+
+// checkServer serves checks of readiness or metrics.
+func checkServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ConnState: acceptor.Track, MaxHeaderBytes: checkHeadBytes,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: checkTimeout, WriteTimeout: checkTimeout, IdleTimeout: checkTimeout,
+	}
+}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"marjorammoor/internal/fleet/former"
+	"marjorammoor/internal/memory/divider"
 	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/observer"
 	"marjorammoor/internal/network/requester"
@@ -58,14 +56,7 @@
 	// reregisterGrace is how long runners need, with a margin, to write their entries
 	// again after a store outage in which the entries expired.
 	reregisterGrace = 2200 * time.Millisecond
-	// memoryLimitShare is the fraction of Bounds.MemoryBytes that is set as the Go
-	// memory limit. Goroutine stacks and buffers need the rest.
-	memoryLimitShare = 0.7
-	gcPercent        = 200
-	// requestMemoryShare and responseMemoryShare are the fractions of Bounds.MemoryBytes that the
-	// bodies of all requests, and of all responses, may take.
-	requestMemoryShare  = 0.2
-	responseMemoryShare = 0.15
+	gcPercent       = 200
 	// headerTimeout applies to other nodes and to checks of readiness.
 	headerTimeout = 3 * time.Second
 )
@@ -113,7 +104,8 @@
 	hasRunnerList  atomic.Bool
 	activeRequests atomic.Int64
 	connections    openConnections
-	unhandledLog   unhandledLog
+	unhandledLog   boundedLog
+	givenWayLog    boundedLog
 	indirectProbes indirectProbes
 	runnerSummary  runnerSummary
 	sights         storeSights
@@ -139,7 +131,7 @@
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	n.startedAt = time.Now()
-	debug.SetMemoryLimit(n.memoryShare(memoryLimitShare))
+	debug.SetMemoryLimit(n.shares().Bytes(divider.Heap))
 	debug.SetGCPercent(gcPercent)
 	n.build()
 	n.Log.Info("node starting", "data_center", n.Settings.DataCenter, "callers", n.Settings.CallerAddress,
@@ -150,27 +142,26 @@
 	if err != nil {
 		return err
 	}
-	readyListener, err := n.listen(n.Settings.ReadyAddress)
+	deliveryListener, err := n.listen(n.Settings.PeerAddress, deliveryPort, divider.Nodes)
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, 5)
-	n.startBackground(work, failed)
-	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	deliveryListener, err := n.listen(n.Settings.PeerAddress)
+	deliveryListener = &watchedListener{Listener: deliveryListener, record: n.recordUnhandled}
+	readyListener, err := n.listen(n.Settings.ReadyAddress, readinessPort, divider.Checks)
 	if err != nil {
 		return err
 	}
-	deliveryListener = &watchedListener{Listener: deliveryListener, record: n.recordUnhandled}
+	failed := make(chan error, 5)
+	n.startBackground(work, failed)
 	callers, deliveries := &port{n.callerServer(), callerListener}, &port{n.deliveryServer(), deliveryListener}
-	go serve(readyServer, readyListener, failed)
+	go serve(checkServer(n.readyHandler()), readyListener, failed)
 	go callers.serve(failed)
 	go deliveries.serve(failed)
 	if n.Settings.MetricsAddress != "" {
-		if l, err := n.listen(n.Settings.MetricsAddress); err != nil {
+		if l, err := n.listen(n.Settings.MetricsAddress, metricsPort, divider.Checks); err != nil {
 			n.Log.Warn("cannot listen on metrics address, running without metrics", "error", err)
 		} else {
-			go serve(&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}, l, failed)
+			go serve(checkServer(metricsHandler()), l, failed)
 		}
 	}
 	select {
@@ -182,28 +173,6 @@
 	return nil
 }
 
-func (n *Node) listenToCallers() (net.Listener, error) {
-	l, err := n.listen(n.Settings.CallerAddress)
-	if err != nil {
-		return nil, err
-	}
-	return &callerListener{Listener: l, limits: n.callerLimits, record: n.recordUnhandled}, nil
-}
-
-func (n *Node) listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return l, nil
-}
-
-func serve(s *http.Server, l net.Listener, failed chan<- error) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		failed <- err
-	}
-}
-
 // startBackground starts the work that runs beside the HTTP servers.
 func (n *Node) startBackground(ctx context.Context, failed chan<- error) {
 	go n.catalogs.Run(ctx)
--- a/internal/node/server/reload.go
+++ b/internal/node/server/reload.go
@@ -1,6 +1,10 @@
 package server
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"marjorammoor/internal/memory/divider"
+)
 
 // bounds returns the current reloadable settings.
 func (n *Node) bounds() *Bounds {
@@ -16,7 +20,7 @@
 	old, updated := n.bounds(), s.Bounds
 	n.reloadedBounds.Store(&updated)
 	if old.MemoryBytes != updated.MemoryBytes {
-		debug.SetMemoryLimit(n.memoryShare(memoryLimitShare))
+		debug.SetMemoryLimit(n.shares().Bytes(divider.Heap))
 	}
 	n.Log.Info("settings are reloaded", "bounds_changed", *old != updated, "old", *old, "new", updated)
 	if n.needsRestart(s) {
--- a/internal/node/server/settings.go
+++ b/internal/node/server/settings.go
@@ -38,6 +38,8 @@
 type Bounds struct {
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// Sockets is the number of sockets that the process may have open; 0 is any number.
+	Sockets int64
 	// RetryRatio is the number of retries allowed per request, and RetryBurst the
 	// number of retries allowed at once, both for all nodes together.
 	RetryRatio float64
--- a/internal/node/server/watched_conn.go
+++ b/internal/node/server/watched_conn.go
@@ -11,25 +11,29 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"marjorammoor/internal/network/acceptor"
 )
 
 const (
-	// maxUnhandledLines is how many lines a second are logged on answers without a handler.
-	maxUnhandledLines = 10
+	// maxBoundedLines is how many lines of one kind are logged in a second.
+	maxBoundedLines = 10
 	// statusAt and statusEnd are where the status stands in a status line.
 	statusAt, statusEnd = len("HTTP/1.1 "), len("HTTP/1.1 200")
 )
 
 // The ports at which requests come in.
 const (
-	callerPort   = "callers"
-	deliveryPort = "nodes"
+	callerPort    = "callers"
+	deliveryPort  = "nodes"
+	readinessPort = "readiness"
+	metricsPort   = "metrics"
 )
 
 // watchedConn is a connection that tells of answers that no handler gives. http.Server gives
 // them by itself, such as 400 for a request that it cannot parse.
 type watchedConn struct {
-	*net.TCPConn
+	*acceptor.Conn
 	port string
 	// record is called with the status line of such an answer.
 	record func(port string, c net.Conn, statusLine string)
@@ -44,13 +48,14 @@
 		line, _, _ := bytes.Cut(b, []byte("\r\n"))
 		c.record(c.port, c, string(line))
 	}
-	return c.TCPConn.Write(b)
+	return c.Conn.Write(b)
 }
 
 // wait records that the connection is idle.
 func (c *watchedConn) wait() {
 	c.isHandled.Store(false)
 	c.isRefused.Store(false)
+	c.Wait()
 }
 
 // watchedListener accepts connections of other nodes.
@@ -61,12 +66,12 @@
 
 // Accept implements net.Listener.
 func (l *watchedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	tcp, ok := c.(*net.TCPConn)
+	nc, err := l.Listener.Accept()
+	c, ok := nc.(*acceptor.Conn)
 	if err != nil || !ok {
-		return c, err
+		return nc, err
 	}
-	return &watchedConn{TCPConn: tcp, port: deliveryPort, record: l.record}, nil
+	return &watchedConn{Conn: c, port: deliveryPort, record: l.record}, nil
 }
 
 // trackDelivery records the state of a connection of another node.
@@ -79,6 +84,18 @@
 
 type connKey struct{}
 
+// acceptedConn returns the connection of a request, or nil if it is not one that a port of the node
+// has accepted.
+func acceptedConn(ctx context.Context) *acceptor.Conn {
+	switch c := ctx.Value(connKey{}).(type) {
+	case *callerConn:
+		return c.Conn
+	case *watchedConn:
+		return c.Conn
+	}
+	return nil
+}
+
 // withConn keeps the connection of a request in its context.
 func withConn(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, nc)
@@ -97,22 +114,22 @@
 	})
 }
 
-// unhandledLog bounds the lines on answers without a handler. The zero value has logged none.
-type unhandledLog struct {
+// boundedLog bounds the lines of one kind. The zero value has logged none.
+type boundedLog struct {
 	mu    sync.Mutex
 	since time.Time
 	lines int
 }
 
 // take reports whether one more line may be logged now.
-func (l *unhandledLog) take() bool {
+func (l *boundedLog) take() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := time.Now(); now.Sub(l.since) >= time.Second {
 		l.since, l.lines = now, 0
 	}
 	l.lines++
-	return l.lines <= maxUnhandledLines
+	return l.lines <= maxBoundedLines
 }
 
 // recordUnhandled counts and logs an answer that no handler has given.
--- a/internal/node/server/watched_conn_test.go
+++ b/internal/node/server/watched_conn_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marjorammoor/internal/memory/divider"
 	"marjorammoor/internal/peer/beater"
 )
 
@@ -51,7 +52,7 @@
 func (x *unhandledCase) check(t *testing.T, s *callerServer, port string) {
 	log := &bytes.Buffer{}
 	s.node.Log = slog.New(slog.NewJSONHandler(log, nil))
-	s.node.unhandledLog = unhandledLog{}
+	s.node.unhandledLog = boundedLog{}
 	counter := metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_unhandled_answers_total{port=%q,status="%d"}`, port, x.Status))
 	before := counter.Get()
 	c := s.connect(t)
@@ -80,12 +81,14 @@
 func startDeliveryServer(t *testing.T) *callerServer {
 	n := startCallerServer(t).node
 	n.beater = &beater.Beater{}
-	l, err := n.listen("127.0.0.1:0")
+	l, err := n.listen("127.0.0.1:0", deliveryPort, divider.Nodes)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := n.deliveryServer()
-	go func() { _ = s.Serve(&watchedListener{Listener: l, record: n.recordUnhandled}) }()
+	go func() {
+		_ = s.Serve(&watchedListener{Listener: l, record: n.recordUnhandled})
+	}()
 	t.Cleanup(func() { _ = s.Close() })
 	return &callerServer{node: n, address: l.Addr().String()}
 }
@@ -93,13 +96,13 @@
 // TestLinesOnAnswersWithoutAHandlerAreBounded guards against logs that one peer can fill.
 func TestLinesOnAnswersWithoutAHandlerAreBounded(t *testing.T) {
 	t.Parallel()
-	l, taken := unhandledLog{}, 0
-	for range 5 * maxUnhandledLines {
+	l, taken := boundedLog{}, 0
+	for range 5 * maxBoundedLines {
 		if l.take() {
 			taken++
 		}
 	}
-	if taken < maxUnhandledLines || taken > 2*maxUnhandledLines {
+	if taken < maxBoundedLines || taken > 2*maxBoundedLines {
 		t.Errorf("%d lines at once", taken)
 	}
 }
--- a/internal/serving/relayer/handover.go
+++ b/internal/serving/relayer/handover.go
@@ -62,12 +62,12 @@
 }
 
 // isLeftToOthers reports whether another node has not taken a call for a reason that others need
-// not have: it reaches no runner either, stops, has no memory, or cannot decide on the call.
+// not have: it reaches no runner either, stops, has no memory or connection to spare, or cannot decide on the call.
 func isLeftToOthers(c *Call, f *responder.Failure) bool {
 	switch f.Reason {
 	case responder.ReasonUnreachable:
 		return f.Outcome == responder.NotRun || c.Route.IsRepeatable()
-	case responder.ReasonShuttingDown, responder.ReasonOutOfMemory:
+	case responder.ReasonShuttingDown, responder.ReasonOutOfMemory, responder.ReasonGaveWay:
 		return f.Outcome == responder.NotRun
 	}
 	return f.Outcome == responder.NotRun && isPeerRefusal(f.Reason)
