Bound what connections receive while nothing reads them

What callers saw: the process was ended for its memory although the bodies that it kept were bounded.

Cause: bytes that were received and not read count as memory. The receive buffer of each connection grew by the system's own measure, to 0.35 MiB on the average of 100 callers and up to 16 MiB. While a body waited for memory, or was refused and its connection closed lingeringly, the buffer went on filling.

Change: the ports listen with a receive buffer of 16 KiB, which accepted connections take over.

Ruled out: a larger buffer once a body is read. The window that a connection may offer is fixed when it is opened. A body of 4 MiB takes some 260 round trips, 1.5 s at 6 ms, reckoned, not measured.

--- a/internal/memory/divider/divider.go
+++ b/internal/memory/divider/divider.go
@@ -12,12 +12,12 @@
 import "math"
 
 const (
-	// ReceiveBufferBytes is the size of the receive buffer of a connection that was accepted. The
-	// system may take twice as much for it.
+	// ReceiveBufferBytes is the size that is asked for the receive buffer of a connection that was
+	// accepted. The system may keep twice as much that was not read.
 	ReceiveBufferBytes = 16 << 10
 	// connectionBytes is what a connection with a request takes at most, beside the shares of
 	// heads and bodies: its receive buffer, buffers of the server, a goroutine and the parsed head.
-	connectionBytes = ReceiveBufferBytes + 25<<10
+	connectionBytes = 2*ReceiveBufferBytes + 25<<10
 	// minConnections is the least share of connections.
 	minConnections = 8
 )
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -23,9 +24,9 @@
 
 // listen listens on an address. The port, which gets its share of the sockets, is for the log.
 func (n *Node) listen(address, port string, share divider.Sockets) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+	l, err := acceptor.Listen(context.Background(), address, divider.ReceiveBufferBytes)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return nil, fmt.Errorf("open the port of %s: %w", port, err)
 	}
 	return &acceptor.Listener{
 		Listener:  l,
