Admit a request by its head, before its body is read

What callers saw: whoever has no key could hold a node's memory for bodies, and got no answer while its body did not come. A caller with a key was refused meanwhile (out_of_memory).

Cause: serve read the body first and admitted the request then, although route, key and announced length are in the head. http.Server in turn does not write a response before the rest of a body of up to 256 KiB has come, for which there was no time limit.

Change: size, route, key and a stop of the node are judged by the head. The body of a refused request is thrown away: up to 32 KiB if it comes within a second, so that sound callers keep their connections; otherwise the response is the last of its connection, and what comes within 0.2 s is thrown away so that the caller can read it. A caller that waits for 100 Continue is refused without it. A body that takes longer than 0.1 s has its request admitted once more, since a key may be withdrawn meanwhile. Each refusal names the version that decided, as before.

Ruled out: an answer at once for every refusal, which closes connections of sound callers whose small body is still on the way.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -26,6 +26,9 @@
 	// its header; such a body is read without a deadline.
 	smallBodyBytes  = 32 << 10
 	bodyReadTimeout = 10 * time.Second
+	// admissionLifetime is how long a request stays admitted while its body arrives. After that, its
+	// credential may have been withdrawn.
+	admissionLifetime = 100 * time.Millisecond
 	// memoryRetryAfter is the Retry-After time for callers whose body finds no memory. Others
 	// take a fraction of a second to be passed on.
 	memoryRetryAfter = 500 * time.Millisecond
@@ -81,6 +84,7 @@
 	if catalog == nil {
 		// It knows no limits either.
 		if _, failure := n.admitter.Admit(in); failure != nil {
+			leaveBody(rw, r)
 			n.fail(w, nil, d, failure)
 			return
 		}
@@ -90,7 +94,9 @@
 		// The node that hands it over has checked the size, perhaps by a newer configuration.
 		limits.BodyBytes = maxBodyBytes
 	}
-	if failure := n.checkHeader(r, in, catalog, limits); d == nil && failure != nil {
+	call, failure := n.admitHead(r, in, catalog, limits, d)
+	if failure != nil {
+		leaveBody(rw, r)
 		n.fail(w, nil, d, failure)
 		return
 	}
@@ -98,29 +104,45 @@
 	memory := n.requestMemory.Reserve("", func() {})
 	defer memory.Release()
 	body, failure := n.readBody(rw, r, in, catalog, limits, memory)
-	if failure != nil {
-		n.fail(w, nil, d, failure)
-		return
+	if c := acceptedConn(r.Context()); failure == nil && c != nil && !c.Serve() {
+		failure = gaveWay(in)
 	}
-	in.Body = body
-	if c := acceptedConn(r.Context()); c != nil && !c.Serve() {
-		n.fail(w, nil, d, gaveWay(in))
-		return
-	}
-	call, failure := n.admitter.Admit(in)
-	if failure == nil {
-		failure = n.stopRefusal(call)
+	if failure == nil && time.Since(arrived) > admissionLifetime {
+		call, failure = n.admit(in)
 	}
 	if failure != nil {
 		n.fail(w, nil, d, failure)
 		return
 	}
+	call.Body = body
 	if d != nil {
 		call.Adopt(*d)
 	}
 	n.serveCall(r.Context(), w, call, d)
 }
 
+// admitHead decides on a request by its head, so that one that is refused need not be read.
+func (n *Node) admitHead(r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits, d *deliverer.Delivery) (*relayer.Call, *responder.Failure) {
+	if d == nil {
+		if failure := n.checkHeader(r, in, c, l); failure != nil {
+			return nil, failure
+		}
+	}
+	if r.ContentLength > l.BodyBytes {
+		return nil, n.tooLarge(in, c, l)
+	}
+	return n.admit(in)
+}
+
+// admit returns the call for a request, or the failure if it is not admitted now.
+func (n *Node) admit(in *admitter.Incoming) (*relayer.Call, *responder.Failure) {
+	call, failure := n.admitter.Admit(in)
+	if failure == nil {
+		failure = n.stopRefusal(call)
+	}
+	return call, failure
+}
+
 // readBody reads the request body up to the limit, which follows from a configuration. If there is
 // no memory for it, the request is refused as soon as that is known.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits, memory *reserver.Reservation) ([]byte, *responder.Failure) {
@@ -140,7 +162,7 @@
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, err.Error())
+		return nil, n.tooLarge(in, c, l)
 	case errors.Is(err, acceptor.ErrGaveWay):
 		return nil, gaveWay(in)
 	case errors.Is(err, reserver.ErrFull):
@@ -151,6 +173,11 @@
 	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
 }
 
+// tooLarge returns the failure of a request whose body is larger than the limit.
+func (n *Node) tooLarge(in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) *responder.Failure {
+	return n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, fmt.Sprintf("the body has more than %d bytes", l.BodyBytes))
+}
+
 // gaveWay returns the failure of a request whose connection gives way to others.
 func gaveWay(in *admitter.Incoming) *responder.Failure {
 	return &responder.Failure{
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -62,6 +62,7 @@
 // refuseDelivery refuses a request of another node, which may hand it over to a third one.
 func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, sender string, reason responder.Reason, message string) {
 	d := &deliverer.Delivery{Node: sender}
+	leaveBody(w, r)
 	n.fail(&callerResponse{ResponseWriter: w}, nil, d, &responder.Failure{
 		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: reason, Message: message,
 		RequestID: n.Platform.ParseRequest(r).ID, RetryAfter: refusedDeliveryRetryAfter,
