End bodies that do not arrive, and answer their callers

What callers saw: a caller that stopped before the end of its body got no answer for ever, if the body has up to 32 KiB, and kept memory and descriptor. So did one that was refused on the product's own interface.

Cause: bodies of up to 32 KiB had no read deadline, larger ones ten seconds in all, which also ends honest slow ones. After a refusal, http.Server waits for the rest of the body before it writes the response and once more before it closes the connection.

Change: each read of a body has five seconds, and all of them end with the request's deadline, after which it could not be served, or when the node stops. After a failed read the response is the last of its connection and is sent at once. gateway/discarder has what is done with bodies that are not wanted, for both interfaces.

Ruled out: a least rate. The deadline bounds the time already, and a body under way gives way to others if its memory is needed.

Evidence: three cases of TestSlowBodiesHoldUpNoOthers had no answer within 15 s and get their 408 now; TestRefusedBodyThatStopsIsAnswered, six of eight requests without an answer within 15 s before.

--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -30,6 +30,7 @@
 	"marjorammoor/internal/admission/allocator"
 	"marjorammoor/internal/admission/limiter"
 	"marjorammoor/internal/gateway/authenticator"
+	"marjorammoor/internal/gateway/discarder"
 	"marjorammoor/internal/gateway/forwarder"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/memory/reserver"
@@ -102,7 +103,8 @@
 	r.Post("/v1/chat/completions", s.serveModel)
 	r.Get("/v1/models", s.listModels)
 	r.HandleFunc("/services/{deployment}/*", s.serveService)
-	unknownPath := func(w http.ResponseWriter, _ *http.Request) {
+	unknownPath := func(w http.ResponseWriter, r *http.Request) {
+		discarder.Leave(w, r)
 		responder.Error(w, s.refusal(http.StatusNotFound, responder.ReasonUnknownPath, "no such path"))
 	}
 	r.NotFound(unknownPath)
@@ -216,6 +218,10 @@
 	if c.FromPeer {
 		markForPeer(w.Header(), c, failure)
 	}
+	if failure.Outcome == responder.NotRun {
+		// Its body may not have been read to the end.
+		discarder.Leave(w, r)
+	}
 	responder.Error(w, failure)
 }
 
--- a/internal/gateway/server/server_test.go
+++ b/internal/gateway/server/server_test.go
@@ -1,10 +1,14 @@
 package server
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"marjorammoor/internal/gateway/forwarder"
 	"marjorammoor/internal/gateway/responder"
@@ -48,3 +52,34 @@
 		}
 	}
 }
+
+// TestRefusedBodyThatStopsIsAnswered guards against callers that hold their connections for ever
+// since they get no answer before the end of a body that does not come.
+func TestRefusedBodyThatStopsIsAnswered(t *testing.T) {
+	t.Parallel()
+	s := httptest.NewServer((&Server{Board: &recorder.Board{}}).Handler())
+	defer s.Close()
+	for path, status := range map[string]int{"/v1/completions": http.StatusUnauthorized, "/unknown": http.StatusNotFound} {
+		for _, rest := range []string{"Content-Length: 1000\r\n\r\nb", "Content-Length: 100000\r\n\r\nb", "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n", "Content-Length: 1000\r\nExpect: 100-continue\r\n\r\n"} {
+			c, err := net.Dial("tcp4", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(answerBound))
+			if _, err := io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h\r\n"+rest); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			switch {
+			case err != nil:
+				t.Errorf("%s %q: %v", path, rest, err)
+			case response.StatusCode != status:
+				t.Errorf("%s %q: status %d", path, rest, response.StatusCode)
+			}
+			_ = c.Close()
+		}
+	}
+}
+
+// answerBound ends a test that gets no answer at all.
+const answerBound = 15 * time.Second
--- a/internal/node/server/arriving_head.go
+++ b/internal/node/server/arriving_head.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"marjorammoor/internal/gateway/discarder"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/memory/divider"
 	"marjorammoor/internal/memory/reserver"
@@ -23,9 +24,8 @@
 	// field may have a name of one byte and no value. headLineBytes is for the line and the host.
 	headTextFactor = 4
 	headLineBytes  = 16 << 10
-	// lingerTime and lingerBytes bound what is read and thrown away of a head that was refused, so
-	// that the caller can read the answer.
-	lingerTime  = 200 * time.Millisecond
+	// lingerBytes bounds what is read and thrown away of a head that was refused, so that the caller
+	// can read the answer.
 	lingerBytes = 256 << 10
 )
 
@@ -97,7 +97,7 @@
 // connection with unread bytes resets it, and the caller could not read the answer.
 func (c *callerConn) linger() {
 	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.SetReadDeadline(time.Now().Add(discarder.LingerTime))
 	// Whatever ends it, the connection is closed next.
 	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 }
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -12,9 +11,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marjorammoor/internal/gateway/discarder"
 	"marjorammoor/internal/gateway/responder"
-	"marjorammoor/internal/memory/reserver"
-	"marjorammoor/internal/network/acceptor"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
@@ -22,10 +20,6 @@
 )
 
 const (
-	// smallBodyBytes is the size up to which a body usually arrives together with
-	// its header; such a body is read without a deadline.
-	smallBodyBytes  = 32 << 10
-	bodyReadTimeout = 10 * time.Second
 	// admissionLifetime is how long a request stays admitted while its body arrives. After that, its
 	// credential may have been withdrawn.
 	admissionLifetime = 100 * time.Millisecond
@@ -84,7 +78,7 @@
 	if catalog == nil {
 		// It knows no limits either.
 		if _, failure := n.admitter.Admit(in); failure != nil {
-			leaveBody(rw, r)
+			discarder.Leave(rw, r)
 			n.fail(w, nil, d, failure)
 			return
 		}
@@ -96,14 +90,14 @@
 	}
 	call, failure := n.admitHead(r, in, catalog, limits, d)
 	if failure != nil {
-		leaveBody(rw, r)
+		discarder.Leave(rw, r)
 		n.fail(w, nil, d, failure)
 		return
 	}
 	// Only the server's own writer closes the connection after a body that is too large.
 	memory := n.requestMemory.Reserve("", func() {})
 	defer memory.Release()
-	body, failure := n.readBody(rw, r, in, catalog, limits, memory)
+	body, failure := n.readBody(rw, r, in, catalog, limits, memory, call.Deadline)
 	if c := acceptedConn(r.Context()); failure == nil && c != nil && !c.Serve() {
 		failure = gaveWay(in)
 	}
@@ -143,48 +137,6 @@
 	return call, failure
 }
 
-// readBody reads the request body up to the limit, which follows from a configuration. If there is
-// no memory for it, the request is refused as soon as that is known.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits, memory *reserver.Reservation) ([]byte, *responder.Failure) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	stop := context.AfterFunc(n.signals.answers, func() { _ = control.SetReadDeadline(time.Now()) })
-	defer stop()
-	if r.ContentLength < 0 || r.ContentLength > smallBodyBytes {
-		_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
-	body, err := memory.ReadInto(http.MaxBytesReader(w, r.Body, l.BodyBytes), min(r.ContentLength, l.BodyBytes+1))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, n.tooLarge(in, c, l)
-	case errors.Is(err, acceptor.ErrGaveWay):
-		return nil, gaveWay(in)
-	case errors.Is(err, reserver.ErrFull):
-		return nil, &responder.Failure{
-			Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: responder.ReasonOutOfMemory, Message: err.Error(), RequestID: in.ID, RetryAfter: memoryRetryAfter,
-		}
-	}
-	return nil, &responder.Failure{Status: http.StatusRequestTimeout, Outcome: responder.NotRun, Reason: responder.ReasonBodyNotRead, Message: err.Error(), RequestID: in.ID}
-}
-
-// tooLarge returns the failure of a request whose body is larger than the limit.
-func (n *Node) tooLarge(in *admitter.Incoming, c *matcher.Catalog, l matcher.Limits) *responder.Failure {
-	return n.admitter.Deny(c, in, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, fmt.Sprintf("the body has more than %d bytes", l.BodyBytes))
-}
-
-// gaveWay returns the failure of a request whose connection gives way to others.
-func gaveWay(in *admitter.Incoming) *responder.Failure {
-	return &responder.Failure{
-		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: responder.ReasonGaveWay, Message: acceptor.ErrGaveWay.Error(), RequestID: in.ID, RetryAfter: memoryRetryAfter,
-	}
-}
-
 // serveCall sends an admitted call to a runner and writes the response.
 func (n *Node) serveCall(ctx context.Context, w *callerResponse, c *relayer.Call, d *deliverer.Delivery) {
 	status := 0
--- a/internal/node/server/deliveries.go
+++ b/internal/node/server/deliveries.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"marjorammoor/internal/gateway/discarder"
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/matcher"
@@ -62,7 +63,7 @@
 // refuseDelivery refuses a request of another node, which may hand it over to a third one.
 func (n *Node) refuseDelivery(w http.ResponseWriter, r *http.Request, sender string, reason responder.Reason, message string) {
 	d := &deliverer.Delivery{Node: sender}
-	leaveBody(w, r)
+	discarder.Leave(w, r)
 	n.fail(&callerResponse{ResponseWriter: w}, nil, d, &responder.Failure{
 		Status: http.StatusServiceUnavailable, Outcome: responder.NotRun, Reason: reason, Message: message,
 		RequestID: n.Platform.ParseRequest(r).ID, RetryAfter: refusedDeliveryRetryAfter,
