Hold memory for what has arrived, and have bodies give way in an order

What callers saw: a few callers that announced large bodies and sent hardly any of them, or all but a byte, took the memory for bodies, and ordinary requests of 20 KiB were refused until those had ended.

Cause: the announced length was reserved before any of it arrived, up to the limit, and nothing could be taken back: all callers were one sender, and a body that found no memory was always the one refused.

Change: a body arrives in pieces that are reserved one by one and used again, and is joined once it is whole. If memory is short, a body gives way of which nothing has come for a second; otherwise the largest of the sender that holds most, if the one in need holds no more than its share or is the oldest. Senders are teams at addresses, and nodes.

Evidence: TestSlowBodiesHoldUpNoOthers, three more cases: requests of 60,000 and 100,000 bytes were refused out_of_memory beside bodies that stopped, and reach the choice of a runner now. TestBodiesGiveWayInOrder.

--- a/internal/gateway/server/server.go
+++ b/internal/gateway/server/server.go
@@ -15,9 +15,11 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -251,7 +253,10 @@
 		return failure
 	}
 	defer cancel()
-	memory := s.Memory.Reserve("", func() {})
+	control := http.NewResponseController(w)
+	// Without a port in it, the address is the sender as it stands.
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	memory := s.Memory.Reserve(c.Team+" "+cmp.Or(host, r.RemoteAddr), func() { _ = control.SetReadDeadline(time.Now()) })
 	defer memory.Release()
 	if failure := s.readBody(w, r, c, memory); failure != nil {
 		return failure
@@ -308,12 +313,12 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := memory.ReadInto(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit+1))
+	body, err := memory.ReadRequest(r.Context(), http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return fail(c, http.StatusRequestEntityTooLarge, responder.ReasonBodyTooLarge, "the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
-	case errors.Is(err, reserver.ErrFull):
+	case errors.Is(err, reserver.ErrFull), errors.Is(err, reserver.ErrRevoked):
 		return fail(c, http.StatusServiceUnavailable, responder.ReasonOutOfMemory, err.Error())
 	case err != nil:
 		return fail(c, http.StatusBadRequest, responder.ReasonBodyNotRead, "the body could not be read")
--- a/internal/memory/reserver/body.go
+++ b/internal/memory/reserver/body.go
@@ -1,40 +1,17 @@
 package reserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"sync"
+	"time"
 )
 
-const (
-	// smallBytes is the size of the first piece of a body, which is not reserved. The number of
-	// connections bounds these pieces.
-	smallBytes = 4 << 10
-	// maxPieceBytes is the maximum size of a piece.
-	maxPieceBytes = 256 << 10
-)
-
-// largePieces holds unused pieces of maxPieceBytes. A flood of large bodies would otherwise leave
-// more garbage than the collector can follow.
-var largePieces = sync.Pool{New: func() any { return new([maxPieceBytes]byte) }}
-
-func newPiece(size int) []byte {
-	if size == maxPieceBytes {
-		return largePieces.Get().(*[maxPieceBytes]byte)[:0]
-	}
-	return make([]byte, 0, size)
-}
-
-// freePieces makes pieces available to other bodies.
-func freePieces(pieces [][]byte) {
-	for _, piece := range pieces {
-		if cap(piece) == maxPieceBytes {
-			largePieces.Put((*[maxPieceBytes]byte)(piece[:maxPieceBytes]))
-		}
-	}
-}
+// smallBytes is the size of the first piece of a body, which is not reserved. The number of
+// connections bounds these pieces.
+const smallBytes = 4 << 10
 
 // ErrTooLarge is returned for a body that is larger than its maximum.
 var ErrTooLarge = errors.New("the body is too large")
@@ -74,14 +51,10 @@
 
 // ReadInto reads a body to its end and returns it in one piece, without waiting for memory. If there
 // is none, it fails with ErrFull and returns what it has read so far. length is the announced
-// length, or below 0.
+// length, or below 0; memory is taken for what has arrived.
 func (h *Reservation) ReadInto(body io.Reader, length int64) ([]byte, error) {
-	size := firstSize(length)
-	if length >= smallBytes {
-		size = int(length) + 1
-	}
-	b, err := h.extend(nil, size)
-	for err == nil {
+	b := make([]byte, 0, firstSize(length))
+	for {
 		n, readErr := body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
 		switch {
@@ -89,38 +62,98 @@
 			return b, nil
 		case readErr != nil:
 			return nil, readErr
-		case len(b) == cap(b):
-			b, err = h.extend(b, 2*cap(b))
+		case len(b) < cap(b):
+			continue
+		}
+		size := nextSize(cap(b), length)
+		if err := h.TryGrow(int64(size - kept(b))); err != nil {
+			return b, fmt.Errorf("keep %d bytes of a body: %w", size, err)
 		}
+		b = append(make([]byte, 0, size), b...)
+	}
+}
+
+// kept returns how much of a buffer is reserved.
+func kept(b []byte) int {
+	if cap(b) <= smallBytes {
+		return 0
 	}
-	return b, err
+	return cap(b)
 }
 
-// extend returns a copy of b with another capacity, whose memory it reserves, or b with an error.
-// The memory of b is returned once the copy is made.
-func (h *Reservation) extend(b []byte, size int) ([]byte, error) {
-	if size > smallBytes {
-		if err := h.TryGrow(int64(size)); err != nil {
-			return b, fmt.Errorf("keep a body of %d bytes: %w", size, err)
+// nextSize returns the size to which a body of an announced length, or below 0, grows next.
+func nextSize(size int, length int64) int {
+	if int64(size) <= length {
+		return min(2*size, int(length)+1)
+	}
+	return 2 * size
+}
+
+// ReadRequest reads the body of a request to its end and returns it in one piece. Its sender can send
+// it again, so others give way to it, or it to others, in the order that Take names. length is
+// the announced length, or below 0; memory is taken for what has arrived.
+func (h *Reservation) ReadRequest(ctx context.Context, body io.Reader, length int64) ([]byte, error) {
+	h.pieces = append(h.pieces, newPiece(firstSize(length)))
+	total := 0
+	for {
+		last := &h.pieces[len(h.pieces)-1]
+		n, err := body.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
+		total += n
+		h.recordProgress()
+		switch {
+		case errors.Is(err, io.EOF):
+			return h.join(ctx, total)
+		case err != nil:
+			return nil, h.readError(err)
+		case len(*last) < cap(*last):
+			continue
+		}
+		size := min(2*cap(*last), maxPieceBytes)
+		if err := h.Take(ctx, int64(size)); err != nil {
+			return nil, fmt.Errorf("keep %d bytes more: %w", size, err)
 		}
+		h.pieces = append(h.pieces, newPiece(size))
 	}
-	c := append(make([]byte, 0, size), b...)
-	if cap(b) > smallBytes {
-		h.shrink(int64(cap(b)))
+}
+
+// join returns the pieces of a body that has arrived whole as one, in memory of its own. The request
+// may be sent on still when the reservation is released.
+func (h *Reservation) join(ctx context.Context, total int) ([]byte, error) {
+	if len(h.pieces) == 1 {
+		b := h.pieces[0]
+		h.pieces = nil
+		return b, h.Settle()
 	}
-	return c, nil
+	if err := h.Take(ctx, int64(total)); err != nil {
+		return nil, fmt.Errorf("keep a body of %d bytes: %w", total, err)
+	}
+	b := bytes.Join(h.pieces, nil)
+	freePieces(h.pieces)
+	h.pieces = nil
+	h.shrinkTo(int64(total))
+	return b, h.Settle()
 }
 
-// shrink returns bytes.
-func (h *Reservation) shrink(n int64) {
-	h.reserver.mu.Lock()
-	defer h.reserver.mu.Unlock()
-	h.size -= n
-	h.reserver.used -= n
+// shrinkTo returns all bytes but so many.
+func (h *Reservation) shrinkTo(size int64) {
+	r := h.reserver
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	returned := h.size - size
+	h.size = size
+	r.used -= returned
 	if h.isRevoked {
-		h.reserver.leaving -= n
+		r.leaving -= returned
 	}
-	h.reserver.notify()
+	r.notify()
+}
+
+// recordProgress records that a part of the body has arrived.
+func (h *Reservation) recordProgress() {
+	h.reserver.mu.Lock()
+	defer h.reserver.mu.Unlock()
+	h.progressAt = time.Now()
 }
 
 // readError returns why a body could not be read: it has given way, or err.
--- a/internal/memory/reserver/doc.go
+++ b/internal/memory/reserver/doc.go
@@ -7,6 +7,10 @@
 // while and nothing is free, the newest one of the sender that holds most gives way too. A body
 // that has arrived whole does not give way.
 //
+// Bodies of requests don't wait for each other, since their senders can send them again: one that
+// has stalled gives way, or the one that holds more than its share (Take). Of heads the largest
+// gives way (Insist).
+//
 // # Usage
 //
 //	r := &reserver.Reserver{Limit: func() int64 { return 64 << 20 }}
--- a/internal/memory/reserver/reserver.go
+++ b/internal/memory/reserver/reserver.go
@@ -53,8 +53,9 @@
 	pieces [][]byte
 	// The fields below are guarded by the reserver's mutex.
 	size int64
-	// grownAt is when the body last took memory.
-	grownAt   time.Time
+	// grownAt is when the body last took memory, and progressAt when a part of it arrived.
+	grownAt, progressAt time.Time
+
 	isRevoked bool
 	isWaiting bool
 }
@@ -221,6 +222,7 @@
 	}
 	h.size += n
 	h.grownAt = time.Now()
+	h.progressAt = h.grownAt
 	r.used += n
 	if h.isRevoked {
 		r.leaving += n
--- a/internal/node/server/caller_body.go
+++ b/internal/node/server/caller_body.go
@@ -12,8 +12,10 @@
 	"marjorammoor/internal/gateway/responder"
 	"marjorammoor/internal/memory/reserver"
 	"marjorammoor/internal/network/acceptor"
+	"marjorammoor/internal/peer/deliverer"
 	"marjorammoor/internal/serving/admitter"
 	"marjorammoor/internal/serving/matcher"
+	"marjorammoor/internal/serving/relayer"
 )
 
 // bodyStallTime is how long nothing of a body may arrive.
@@ -41,6 +43,20 @@
 	return b.Reader.Read(p)
 }
 
+// reserveBody begins the reservation of a request's body. Its sender is a team at an address, or
+// the node that hands the request over. If it has to give way, so does its connection.
+func (n *Node) reserveBody(conn *acceptor.Conn, c *relayer.Call, d *deliverer.Delivery) *reserver.Reservation {
+	sender, abort := c.Team, func() {}
+	if conn != nil {
+		sender += " " + conn.Host()
+		abort = func() { conn.GiveWay() }
+	}
+	if d != nil {
+		sender = d.Node
+	}
+	return n.requestMemory.Reserve(sender, abort)
+}
+
 // readBody reads the request body up to the limit, which follows from a configuration, and until
 // the request's deadline. If there is no memory for it, the request is refused as soon as that
 // is known.
@@ -52,7 +68,7 @@
 	stop := context.AfterFunc(n.signals.answers, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
 	arriving := &arrivingBody{Reader: http.MaxBytesReader(w, r.Body, l.BodyBytes), control: control, deadline: deadline, stopping: n.signals.answers}
-	body, err := memory.ReadInto(arriving, r.ContentLength)
+	body, err := memory.ReadRequest(r.Context(), arriving, r.ContentLength)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
@@ -67,7 +83,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return n.tooLarge(in, c, l)
-	case errors.Is(err, acceptor.ErrGaveWay):
+	case errors.Is(err, acceptor.ErrGaveWay), errors.Is(err, reserver.ErrRevoked):
 		return gaveWay(in)
 	case errors.Is(err, reserver.ErrFull):
 		return &responder.Failure{
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -94,11 +94,12 @@
 		n.fail(w, nil, d, failure)
 		return
 	}
-	// Only the server's own writer closes the connection after a body that is too large.
-	memory := n.requestMemory.Reserve("", func() {})
+	conn := acceptedConn(r.Context())
+	memory := n.reserveBody(conn, call, d)
 	defer memory.Release()
+	// Only the server's own writer closes the connection after a body that is too large.
 	body, failure := n.readBody(rw, r, in, catalog, limits, memory, call.Deadline)
-	if c := acceptedConn(r.Context()); failure == nil && c != nil && !c.Serve() {
+	if failure == nil && conn != nil && !conn.Serve() {
 		failure = gaveWay(in)
 	}
 	if failure == nil && time.Since(arrived) > admissionLifetime {
