End answers that their callers do not read

What callers saw: a caller that asked for a large answer, or a stream, and read none of it kept that answer's memory, its descriptor and the slot of its runner until it closed the connection.

Cause: writes to callers had no deadline, and a peer that answers with a closed window is alive for the system.

Change: each 32 KiB that are written to an accepted connection have ten seconds. A slow caller that goes on reading gets all of its answer.

Ruled out: WriteTimeout of http.Server, which bounds whole answers and so ends long streams of sound callers.

--- a/internal/network/acceptor/conn.go
+++ b/internal/network/acceptor/conn.go
@@ -1,11 +1,19 @@
 package acceptor
 
 import (
+	"cmp"
+	"io"
 	"net"
 	"sync"
 	"time"
 )
 
+const (
+	defaultWriteStallTime = 10 * time.Second
+	// writePieceBytes is how much is written at once.
+	writePieceBytes = 32 << 10
+)
+
 // gaveWayError is the error of a connection that gives way. It counts as a timeout, so that
 // http.Server closes the connection without an answer of its own.
 type gaveWayError struct{}
@@ -63,6 +71,26 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails if the other end takes nothing for the listener's
+// WriteStallTime. A slow one that goes on reading gets all, since each piece has that time.
+func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		piece := b[written:min(len(b), written+writePieceBytes)]
+		_ = c.SetWriteDeadline(time.Now().Add(cmp.Or(c.listener.WriteStallTime, defaultWriteStallTime)))
+		n, err := c.TCPConn.Write(piece)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// ReadFrom implements io.ReaderFrom, so that what is copied to the connection is written by Write.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // SetReadDeadline implements net.Conn. The deadline of a connection that gives way has passed.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/network/acceptor/doc.go
+++ b/internal/network/acceptor/doc.go
@@ -9,6 +9,9 @@
 // Reading a connection that gives way fails with ErrGaveWay. Its owner answers a request of which
 // a part has arrived, and closes it.
 //
+// Writing to a connection whose other end reads nothing fails after some seconds, so that the answer
+// is not kept for ever.
+//
 // # Usage
 //
 //	l := &acceptor.Listener{Listener: listener, Max: func() int { return 1000 }}
--- a/internal/network/acceptor/listener.go
+++ b/internal/network/acceptor/listener.go
@@ -44,6 +44,9 @@
 	Max func() int
 	// OnGiveWay, if set, is called for each connection that gives way, or is closed as it comes.
 	OnGiveWay func(c *Conn, reason Reason)
+	// WriteStallTime is how long the other end may take nothing of what is written; 0 means ten
+	// seconds.
+	WriteStallTime time.Duration
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
