Keep callers out of no node whose connections others hold

What callers saw, on the product's own interface: no answer while others held max_connections connections, whether they send requests or not.

Cause: netutil.LimitListener stops accepting at its limit, and a kept connection may be idle for two minutes.

Change: the port for callers is a network/acceptor, as on the users' platform: connections without a request give way to new ones, receive buffers have 16 KiB, and an answer that nobody reads ends. A new connection waits up to 50 ms for those that give way to be closed: in a first form of this change it was closed unread then, and the test below failed once in five runs.

Ruled out: a shorter idle timeout, which also ends sound callers' connections while there is room.

Evidence: TestIdleConnectionsKeepOutNoCallers, no answer within 15 s before; 300 runs pass now. golang.org/x/net is not used any more.

--- a/internal/network/acceptor/listen.go
+++ b/internal/network/acceptor/listen.go
@@ -11,9 +11,9 @@
 
 // Listen listens on an address for connections whose receive buffers have a size of their own.
 // The system would let each grow to megabytes while nothing is read.
-func Listen(ctx context.Context, address string, receiveBytes int) (net.Listener, error) {
+func Listen(ctx context.Context, network, address string, receiveBytes int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setReceiveBuffer(raw, receiveBytes) }}
-	l, err := config.Listen(ctx, "tcp4", address)
+	l, err := config.Listen(ctx, network, address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/internal/network/acceptor/listener.go
+++ b/internal/network/acceptor/listener.go
@@ -18,6 +18,8 @@
 	// spareShare is the divisor of Max for the connections that may be open while others end to
 	// give way to them.
 	spareShare = 8
+	// closeTime is how long a new connection waits until others that give way to it are closed.
+	closeTime = 50 * time.Millisecond
 	// batchShare is the divisor of Max for how many connections give way at once.
 	batchShare = 64
 )
@@ -52,6 +54,8 @@
 	conns map[*Conn]struct{}
 	// giving is how many of them give way and are still open.
 	giving atomic.Int64
+	// removed is closed when one is removed; nil means that nothing waits for that.
+	removed chan struct{}
 }
 
 // Accept implements net.Listener. It returns the next connection that may stay open, which is a
@@ -64,7 +68,7 @@
 			return nc, err
 		}
 		c := &Conn{TCPConn: tcp, host: hostOf(nc), listener: l, progressAt: time.Now()}
-		if l.add(c) {
+		if l.addOrWait(c) {
 			return c, nil
 		}
 		l.report(c, ReasonFull)
@@ -72,6 +76,24 @@
 	}
 }
 
+// addOrWait adds a connection once others have been closed for it, or reports that it may not stay.
+func (l *Listener) addOrWait(c *Conn) bool {
+	added, removed := l.add(c)
+	if added {
+		return true
+	}
+	timeout := time.After(closeTime)
+	for !added && l.giving.Load() > 0 {
+		select {
+		case <-removed:
+			added, removed = l.add(c)
+		case <-timeout:
+			return false
+		}
+	}
+	return added
+}
+
 // hostOf returns the IP address of the other end.
 func hostOf(nc net.Conn) string {
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
@@ -80,8 +102,9 @@
 	return ""
 }
 
-// add adds a connection and has others give way to it, or reports that it may not stay.
-func (l *Listener) add(c *Conn) bool {
+// add adds a connection and has others give way to it. If there is no room yet, it returns what is
+// closed when the next one is removed.
+func (l *Listener) add(c *Conn) (added bool, removed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := math.MaxInt32
@@ -93,13 +116,16 @@
 		l.makeRoom(over + limit/batchShare)
 	}
 	if len(l.conns) >= limit {
-		return false
+		if l.removed == nil {
+			l.removed = make(chan struct{})
+		}
+		return false, l.removed
 	}
 	if l.conns == nil {
 		l.conns = map[*Conn]struct{}{}
 	}
 	l.conns[c] = struct{}{}
-	return true
+	return true, nil
 }
 
 // remove removes a connection that was closed.
@@ -110,6 +136,10 @@
 		l.giving.Add(-1)
 	}
 	delete(l.conns, c)
+	if l.removed != nil {
+		close(l.removed)
+		l.removed = nil
+	}
 }
 
 // Track records the state in which an http.Server has a connection, for servers that leave the
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -14,7 +14,6 @@
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"golang.org/x/net/netutil"
 
 	adminserver "marjorammoor/internal/admin/server"
 	"marjorammoor/internal/admission/allocator"
@@ -27,7 +26,9 @@
 	gatewayserver "marjorammoor/internal/gateway/server"
 	"marjorammoor/internal/health/prober"
 	"marjorammoor/internal/health/verifier"
+	"marjorammoor/internal/memory/divider"
 	"marjorammoor/internal/memory/reserver"
+	"marjorammoor/internal/network/acceptor"
 	"marjorammoor/internal/network/dialer"
 	"marjorammoor/internal/peer/exchanger"
 	"marjorammoor/internal/platform/client"
@@ -124,13 +125,14 @@
 }
 
 func (n *Node) listen(address string, handler http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	open := net.Listen
+	if address == n.Settings.CallerAddress {
+		open = n.listenToCallers
+	}
+	l, err := open("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	if address == n.Settings.CallerAddress {
-		l = netutil.LimitListener(l, n.Settings.MaxConnections)
-	}
 	n.listeners = append(n.listeners, l)
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -138,6 +140,9 @@
 		// OPTIONS * is routed as all requests are.
 		DisableGeneralOptionsHandler: true,
 	}
+	if address == n.Settings.CallerAddress {
+		server.ConnState = acceptor.Track
+	}
 	if address == n.Settings.PeerAddress {
 		server.Protocols = exchanger.Protocols()
 		server.HTTP2 = &http.HTTP2Config{SendPingTimeout: peerPingTimeout, PingTimeout: peerPingTimeout}
@@ -146,6 +151,21 @@
 	return nil
 }
 
+// listenToCallers returns a listener on which connections give way to new ones beyond the limit.
+func (n *Node) listenToCallers(network, address string) (net.Listener, error) {
+	l, err := acceptor.Listen(context.Background(), network, address, divider.ReceiveBufferBytes)
+	if err != nil {
+		return nil, err
+	}
+	return &acceptor.Listener{
+		Listener: l,
+		Max:      func() int { return n.Settings.MaxConnections },
+		OnGiveWay: func(_ *acceptor.Conn, reason acceptor.Reason) {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`marjorammoor_connections_given_way_total{port="callers",reason=%q}`, string(reason))).Inc()
+		},
+	}, nil
+}
+
 func (n *Node) closeListeners() {
 	for _, l := range n.listeners {
 		_ = l.Close()
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -24,7 +24,7 @@
 
 // listen listens on an address. The port, which gets its share of the sockets, is for the log.
 func (n *Node) listen(address, port string, share divider.Sockets) (net.Listener, error) {
-	l, err := acceptor.Listen(context.Background(), address, divider.ReceiveBufferBytes)
+	l, err := acceptor.Listen(context.Background(), "tcp4", address, divider.ReceiveBufferBytes)
 	if err != nil {
 		return nil, fmt.Errorf("open the port of %s: %w", port, err)
 	}
