Keep the sum of all shares below the memory of the machine

Cause: each share was bounded by itself. At 184 MiB the heap, the receive buffers of all ports and the connections that wait to be accepted added up to more than the machine has, if all ports are pressed at once.

Change: connections of nodes, of readiness and of metrics take 0.05 of the memory each, callers 0.42 of the sockets, so that as many are left for what their requests need at runners.

Ruled out: a fixed queue, which alone is an eighth of a small machine at four ports.

--- a/internal/memory/divider/divider.go
+++ b/internal/memory/divider/divider.go
@@ -20,6 +20,10 @@
 	connectionBytes = 2*ReceiveBufferBytes + 25<<10
 	// minConnections is the least share of connections.
 	minConnections = 8
+	// waitingShare is the fraction of a share of connections that may wait to be accepted besides,
+	// and minWaiting the least number of these.
+	waitingShare = 0.25
+	minWaiting   = 32
 )
 
 // Memory is a share of the memory.
@@ -55,10 +59,10 @@
 
 // socketShares are fractions of the sockets. Each request of a caller may take another
 // connection, to a runner.
-var socketShares = map[Sockets]float64{Callers: 0.45, Nodes: 0.1, Checks: 0.01}
+var socketShares = map[Sockets]float64{Callers: 0.42, Nodes: 0.1, Checks: 0.01}
 
-// callerMemoryShare is the fraction of the memory for the connections of callers.
-const callerMemoryShare = 0.25
+// connectionShares are the fractions of the memory for connections.
+var connectionShares = map[Sockets]float64{Callers: 0.25, Nodes: 0.05, Checks: 0.05}
 
 // Divider divides the memory and the sockets. The zero value has no bounds.
 type Divider struct {
@@ -71,13 +75,15 @@
 
 // Connections returns how many connections may be open.
 func (d *Divider) Connections(s Sockets) int {
-	count := share(d.Sockets, socketShares[s])
-	if s == Callers {
-		count = min(count, share(d.Memory, callerMemoryShare)/connectionBytes)
-	}
+	count := min(share(d.Sockets, socketShares[s]), share(d.Memory, connectionShares[s])/connectionBytes)
 	return int(min(max(count, minConnections), math.MaxInt32))
 }
 
+// Waiting returns how many connections may wait to be accepted. The system receives for these too.
+func (d *Divider) Waiting(s Sockets) int {
+	return max(int(float64(d.Connections(s))*waitingShare), minWaiting)
+}
+
 // share returns a fraction of a bound.
 func share(bound int64, fraction float64) int64 {
 	if bound <= 0 {
--- a/internal/network/acceptor/listen.go
+++ b/internal/network/acceptor/listen.go
@@ -9,19 +9,23 @@
 	"golang.org/x/sys/unix"
 )
 
-// waitingConnections is how many connections may be open that were not accepted yet. The system
-// receives for these too.
-const waitingConnections = 512
+// Buffers is what the system keeps for connections before the process reads them.
+type Buffers struct {
+	// ReceiveBytes is the size of a connection's receive buffer.
+	ReceiveBytes int
+	// Waiting is how many connections may be open that were not accepted yet.
+	Waiting int
+}
 
-// Listen listens on an address for connections whose receive buffers have a size of their own.
-// The system would let each grow to megabytes while nothing is read.
-func Listen(ctx context.Context, network, address string, receiveBytes int) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setReceiveBuffer(raw, receiveBytes) }}
+// Listen listens on an address. Without bounds the system would let each receive buffer grow to
+// megabytes while nothing is read, and open thousands of connections ahead of the process.
+func Listen(ctx context.Context, network, address string, b Buffers) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setReceiveBuffer(raw, b.ReceiveBytes) }}
 	l, err := config.Listen(ctx, network, address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	if err := boundWaiting(l); err != nil {
+	if err := boundWaiting(l, b.Waiting); err != nil {
 		_ = l.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -29,7 +33,7 @@
 }
 
 // boundWaiting bounds the connections that wait to be accepted. To listen once more changes only that.
-func boundWaiting(l net.Listener) error {
+func boundWaiting(l net.Listener, count int) error {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return nil
@@ -38,7 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("get the listening socket: %w", err)
 	}
-	return control(raw, "bound the waiting connections", func(fd int) error { return unix.Listen(fd, waitingConnections) })
+	return control(raw, "bound the waiting connections", func(fd int) error { return unix.Listen(fd, count) })
 }
 
 // setReceiveBuffer sets the size that the connections of a listening socket take over.
--- a/internal/node/assembler/node.go
+++ b/internal/node/assembler/node.go
@@ -39,8 +39,10 @@
 )
 
 const (
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// waitingCallers is how many connections of callers may wait to be accepted.
+	waitingCallers    = 512
 	maxHeaderBytes    = 32 << 10
 	drainPollInterval = 20 * time.Millisecond
 	// bodyMemoryBytes is what the bodies of all requests, and of all responses, may take. Further
@@ -153,7 +155,8 @@
 
 // listenToCallers returns a listener on which connections give way to new ones beyond the limit.
 func (n *Node) listenToCallers(network, address string) (net.Listener, error) {
-	l, err := acceptor.Listen(context.Background(), network, address, divider.ReceiveBufferBytes)
+	buffers := acceptor.Buffers{ReceiveBytes: divider.ReceiveBufferBytes, Waiting: waitingCallers}
+	l, err := acceptor.Listen(context.Background(), network, address, buffers)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -24,7 +24,8 @@
 
 // listen listens on an address. The port, which gets its share of the sockets, is for the log.
 func (n *Node) listen(address, port string, share divider.Sockets) (net.Listener, error) {
-	l, err := acceptor.Listen(context.Background(), "tcp4", address, divider.ReceiveBufferBytes)
+	buffers := acceptor.Buffers{ReceiveBytes: divider.ReceiveBufferBytes, Waiting: n.shares().Waiting(share)}
+	l, err := acceptor.Listen(context.Background(), "tcp4", address, buffers)
 	if err != nil {
 		return nil, fmt.Errorf("open the port of %s: %w", port, err)
 	}
