Close connections to runners that have left

Cause: expired idle connections were looked for only when another request was sent to the same address. Those to runners that had left kept their descriptors for good.

Change: once a second, idle connections are closed that have expired, and all to addresses that no runner has any more.

Ruled out: closing them when an entry is removed. A request that is still under way would give its connection back later; and a look at each idle connection for its peer's end, which is a system call for each.

--- a/internal/network/requester/pool.go
+++ b/internal/network/requester/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,9 @@
 	"marjorammoor/internal/state/sharder"
 )
 
+// lastTime is after the expiry of all connections.
+var lastTime = time.Unix(1<<40, 0)
+
 // pool holds idle connections by address and returns the most recently used one first.
 type pool struct {
 	lists sharder.Map[string, *idleList]
@@ -46,13 +50,9 @@
 // put adds an idle connection and closes the expired ones to the same address.
 func (p *pool) put(c *conn) {
 	l := p.lists.GetOrCreate(c.address, func() *idleList { return &idleList{} })
+	l.closeExpired(time.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	for len(l.conns) > 0 && now.After(l.conns[0].expires) {
-		l.conns[0].abort()
-		l.conns = l.conns[1:]
-	}
 	l.conns = append(l.conns, c)
 }
 
@@ -95,6 +95,32 @@
 	}
 }
 
+// CloseUnused closes the idle connections that have expired, and all to addresses that are not used any
+// more. Nothing else looks at an address to which no request is sent.
+func (c *Client) CloseUnused(isUsed func(address string) bool) {
+	c.pool.lists.Each(func(address string, l *idleList) bool {
+		now := time.Now()
+		if !isUsed(address) {
+			now = lastTime
+		}
+		l.closeExpired(now)
+		return true
+	})
+}
+
+// closeExpired closes the connections that will have expired at a time.
+func (l *idleList) closeExpired(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = slices.DeleteFunc(l.conns, func(c *conn) bool {
+		isExpired := at.After(c.expires)
+		if isExpired {
+			c.abort()
+		}
+		return isExpired
+	})
+}
+
 // isReusable reports whether an idle connection is open and has no unread bytes. Such
 // bytes would be taken for the response to the next request.
 func isReusable(c *conn) bool {
--- a/internal/node/server/connections.go
+++ b/internal/node/server/connections.go
@@ -65,3 +65,14 @@
 		repeater.Sleep(ctx, idleCheckInterval)
 	}
 }
+
+// closeUnused closes the idle connections to runners that have left, and to other nodes those that
+// have expired. Their descriptors are taken from those of callers.
+func (n *Node) closeUnused() {
+	used := map[string]bool{}
+	for _, r := range n.tracker.View().Runners {
+		used[r.Address] = true
+	}
+	n.Client.CloseUnused(func(address string) bool { return used[address] })
+	n.deliverer.Client.CloseUnused(func(string) bool { return true })
+}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -41,6 +41,9 @@
 	stallInterval   = 100 * time.Millisecond
 	formInterval    = 100 * time.Millisecond
 	expireInterval  = 250 * time.Millisecond
+	// unusedInterval is the time between two rounds in which connections are closed that are
+	// not used any more.
+	unusedInterval = time.Second
 	// maxReadyCatalogAge is the age of the configuration copy from which the node
 	// reports that it is not ready. The admitter stops accepting credentials at
 	// about the same age.
@@ -190,6 +193,7 @@
 		n.tracker.Expire()
 	})
 	go repeater.Every(ctx, peerSummaryInterval, n.logPeers)
+	go repeater.Every(ctx, unusedInterval, n.closeUnused)
 }
 
 // isBeforeTraffic reports whether the whole system started less than
