--- a/internal/node/server/slow_bodies_test.go
+++ b/internal/node/server/slow_bodies_test.go
@@ -69,7 +69,7 @@
 
 func (x *slowBodies) check(t *testing.T) {
 	s := startCallerServer(t)
-	s.node.Settings.MemoryBytes = x.MemoryKiB << 10
+	s.node.reloadedBounds.Store(&Bounds{MemoryBytes: x.MemoryKiB << 10})
 	s.useKeys()
 	answers := make(chan string, 100)
 	wanted := 0
