Do not end a node that knows no runners yet

Change: before the first list, any address may be one of a runner.

TestNodeWithoutRunnersClosesNoneAsUnused panicked before.

--- a/internal/node/server/connections.go
+++ b/internal/node/server/connections.go
@@ -66,13 +66,23 @@
 	}
 }
 
-// closeUnused closes the idle connections to runners that have left, and to other nodes those that
-// have expired. Their descriptors are taken from those of callers.
+// closeUnused closes the idle connections to runners that have left, and all others that have expired.
+// Their descriptors are taken from those of callers.
 func (n *Node) closeUnused() {
+	n.Client.CloseUnused(n.newUsedAddresses())
+	n.deliverer.Client.CloseUnused(func(string) bool { return true })
+}
+
+// newUsedAddresses returns a function that reports whether a runner has an address. Before the first
+// list of runners any may have one.
+func (n *Node) newUsedAddresses() func(address string) bool {
+	view := n.tracker.View()
+	if view == nil {
+		return func(string) bool { return true }
+	}
 	used := map[string]bool{}
-	for _, r := range n.tracker.View().Runners {
+	for _, r := range view.Runners {
 		used[r.Address] = true
 	}
-	n.Client.CloseUnused(func(address string) bool { return used[address] })
-	n.deliverer.Client.CloseUnused(func(string) bool { return true })
+	return func(address string) bool { return used[address] }
 }
--- a/internal/node/server/connections_test.go
+++ b/internal/node/server/connections_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"marjorammoor/internal/serving/tracker"
 )
 
 // heldListener accepts connections of which the server gets what has arrived only later.
@@ -70,3 +72,20 @@
 		}
 	}
 }
+
+// TestNodeWithoutRunnersClosesNoneAsUnused guards against a node that ends while it has no list of
+// runners yet, or closes connections that may be used.
+func TestNodeWithoutRunnersClosesNoneAsUnused(t *testing.T) {
+	t.Parallel()
+	n := startCallerServer(t).node
+	n.closeUnused()
+	if !n.newUsedAddresses()("10.0.0.1:80") {
+		t.Error("an address is not used although no list of runners is known")
+	}
+	n.tracker.Replace([]*tracker.Runner{{ID: "r", Service: "s", Address: "10.0.0.1:80", State: tracker.Ready}}, 0)
+	n.closeUnused()
+	isUsed := n.newUsedAddresses()
+	if !isUsed("10.0.0.1:80") || isUsed("10.0.0.2:80") {
+		t.Error("not just the addresses of runners are used")
+	}
+}
