A connection that broke off is not the end of an answer

Cause: a socket keeps one pending error, and the first call that asks takes it. If that is the blocked write, the next read returns 0, an end like any other, and an answer without a length ends so. The same goes for each error that a write can take: a time-out of unacknowledged bytes too.

Change: network/detector wraps the connections of requester and dialer. At the end of a connection, it passes io.EOF on at once if the kernel's state shows a FIN (CLOSE_WAIT). Otherwise the connection has ended in both directions, so that a write under way ends at once; that write has taken the error, or there was none, and then a FIN came first, since the read would have got the error. A reset after a FIN is EPIPE. The error is passed on as it is, so that a time-out is not taken for a refusal.

Ruled out: to wait for the write's error alone, which a sound runner that has ended its side and reads slowly can draw out; to want CLOSE_WAIT alone, which fails a sound runner that is reset after its FIN, as each does that closes while an upload is on its way.

--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -14,6 +14,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"marjorammoor/internal/network/detector"
 )
 
 // DefaultTimeout is the maximum time to open a connection.
@@ -64,9 +66,13 @@
 	if n.Timeout == 0 {
 		n.Timeout = DefaultTimeout
 	}
-	conn, err := n.DialContext(ctx, network, address)
-	if err != nil || d.Count == nil {
-		return conn, err
+	nc, err := n.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := detector.New(nc)
+	if d.Count == nil {
+		return conn, nil
 	}
 	return &countingConn{Conn: conn, count: d.Count}, nil
 }
--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"marjorammoor/internal/network/detector"
 	"marjorammoor/internal/network/observer"
 )
 
@@ -23,7 +24,7 @@
 
 // conn is a connection to a server.
 type conn struct {
-	net.Conn
+	*detector.Conn
 	address string
 	path    *observer.Path
 	// isNew is set until the connection is used again.
@@ -99,7 +100,7 @@
 	}
 	b = append(b, "\r\n"...)
 	if isLarge {
-		n, err := (&net.Buffers{b, r.Body}).WriteTo(c.Conn)
+		n, err := c.WriteBuffers(net.Buffers{b, r.Body})
 		c.written = n > 0
 		return err
 	}
--- a/internal/network/requester/pool.go
+++ b/internal/network/requester/pool.go
@@ -124,17 +124,13 @@
 // isReusable reports whether an idle connection is open and has no unread bytes. Such
 // bytes would be taken for the response to the next request.
 func isReusable(c *conn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw := c.Raw()
+	if raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	var peekErr error
 	buffer := [1]byte{}
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		n, _, e := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		peekErr = e
 		if e == nil && n == 0 {
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"marjorammoor/internal/network/detector"
 	"marjorammoor/internal/network/observer"
 )
 
@@ -132,7 +133,7 @@
 	Status int
 	Header http.Header
 	// Body ends with io.EOF only if the response is complete, or if it EndsWithConnection
-	// and the connection was closed.
+	// and the server has closed that. A connection that broke off is an error.
 	Body io.Reader
 	// EndsWithConnection is set if the response has neither a length nor chunks, so that
 	// its end cannot be told from a closed connection.
@@ -307,8 +308,9 @@
 		return nil, fmt.Errorf("open connection: %w", err)
 	}
 	connectionsOpened.Inc()
-	limit := &limitedReader{reader: nc, path: path}
-	return &conn{Conn: nc, path: path, isNew: true, address: r.Address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
+	dc := detector.New(nc)
+	limit := &limitedReader{reader: dc, path: path}
+	return &conn{Conn: dc, path: path, isNew: true, address: r.Address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
 }
 
 func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
