A response whose status line is none of HTTP/1.1's is no response

A 101 was passed over in the same way.

Cause: http.ReadResponse takes any three characters that parse as a number of 0 or more for a status, each version HTTP/X.Y, and any byte in the reason. requester took all below 200 for interim responses.

Already refused: 000 with nothing behind it (502: no status line follows), statuses of two or four characters.

Change: network/validator checks a head line by line; requester reads the head, checks it and has the parser read it again, before anything of it is used: framing, "not run", 421, limits and pauses of such a response count for nothing. Its outcome is unknown, so callers get 502, or the answer of another runner where the request may be repeated. The same is done for each head: final, interim and skipped ones.

Ruled out: to check the parsed response, since the parser has then left out what was wrong; to pass such a status on as a 500, which no runner gave.

--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -13,6 +14,7 @@
 
 	"marjorammoor/internal/network/detector"
 	"marjorammoor/internal/network/observer"
+	"marjorammoor/internal/network/validator"
 )
 
 const (
@@ -48,10 +50,17 @@
 	reader    io.Reader
 	remaining int64
 	path      *observer.Path
+	// unread is returned once more, without regard to remaining.
+	unread []byte
 }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
+	if len(l.unread) > 0 {
+		n := copy(p, l.unread)
+		l.unread = l.unread[n:]
+		return n, nil
+	}
 	if l.remaining <= 0 {
 		return 0, errHeaderTooLarge
 	}
@@ -110,6 +119,34 @@
 	return err
 }
 
+// checkHead reads the head of the next response and checks it. The reader then returns it once more.
+func (c *conn) checkHead() error {
+	read, head := make([]byte, 0, headSize), validator.Head{}
+	for !head.IsComplete() {
+		line, err := c.reader.ReadSlice('\n')
+		switch {
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return fmt.Errorf("read head: %w", err)
+		}
+		read = append(read, line...)
+		if err := head.Add(line); err != nil {
+			return fmt.Errorf("check head: %w", err)
+		}
+	}
+	ahead, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return fmt.Errorf("read behind the head: %w", err)
+	}
+	c.limit.unread = append(append(read, ahead...), c.limit.unread...)
+	c.reader.Reset(c.limit)
+	return nil
+}
+
+// hasUnread reports whether bytes have arrived that are not read.
+func (c *conn) hasUnread() bool { return c.reader.Buffered()+len(c.limit.unread) > 0 }
+
 // readHeader reads responses until one is final and belongs to the request. It returns
 // the response with its body unread.
 func (c *conn) readHeader(r *Request) (*http.Response, error) {
@@ -121,6 +158,9 @@
 	mayBeUnnamed := c.isNew
 	for range maxResponses {
 		c.limit.remaining = maxHeaderBytes
+		if err := c.checkHead(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
--- a/internal/network/requester/requester.go
+++ b/internal/network/requester/requester.go
@@ -228,7 +228,7 @@
 	a.once.Do(func() {
 		a.conn.path.End()
 		isOpen := a.stop()
-		if !isOpen || !a.complete || !a.mayKeep || a.conn.reader.Buffered() > 0 {
+		if !isOpen || !a.complete || !a.mayKeep || a.conn.hasUnread() {
 			a.conn.abort()
 			return
 		}
--- a/internal/network/requester/requester_test.go
+++ b/internal/network/requester/requester_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,8 @@
 	Requests    []struct {
 		ID      string   `json:"id"`
 		Answers []string `json:"answers"`
+		// Repeat is the number of bytes that stand for {} in them.
+		Repeat int `json:"repeat"`
 		// Later is written after the client has read the response.
 		Later string `json:"later"`
 		// HangUp makes the server close the connection after the responses.
@@ -71,7 +74,7 @@
 		_, _ = io.Copy(io.Discard, q.Body)
 		step := x.Requests[next.Add(1)-1]
 		for _, a := range step.Answers {
-			_, _ = io.WriteString(c, a)
+			_, _ = io.WriteString(c, strings.ReplaceAll(a, "{}", strings.Repeat("x", step.Repeat)))
 		}
 		if step.Later != "" {
 			<-bodyRead
