A response with a malformed field line is no response

"Not run" and 421 of such heads were believed: callers got 503 for requests that had run.

Cause: textproto takes a blank in a name, for old servers. Such a name is not canonical, so neither the framing nor anybody else finds it.

Already refused by the parser, and now by the same check: a tab, a control byte or a separator in a name, no name, no colon, a control byte in a value; their tests are kept.

Change: validator checks each line: a token, a colon and a value without control bytes, or a folded line behind a field.

Ruled out: to take the blank before a colon away, as RFC 9112 lets proxies do: the head is that of a server in trouble, and whether its length is to be believed nobody knows.

--- a/internal/network/validator/validator.go
+++ b/internal/network/validator/validator.go
@@ -80,8 +80,11 @@
 		return h.checkStatusLine(string(line))
 	case len(line) == 0:
 		h.isComplete = true
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return h.checkFolded(string(line))
 	}
-	return nil
+	return h.checkField(string(line))
 }
 
 // checkStatusLine checks HTTP-version SP status-code SP [ reason-phrase ]. Several spaces, and none
@@ -106,3 +109,26 @@
 	}
 	return nil
 }
+
+// checkField checks field-name ":" OWS field-value OWS.
+func (h *Head) checkField(line string) error {
+	name, value, hasColon := strings.Cut(line, ":")
+	if !hasColon || !httpguts.ValidHeaderFieldName(name) {
+		return errors.New("not a field name")
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return errors.New("control byte in a field")
+	}
+	return nil
+}
+
+// checkFolded checks a line that goes on with the field of the line before.
+func (h *Head) checkFolded(line string) error {
+	if h.lines == 1 {
+		return errors.New("blank before the first field")
+	}
+	if !httpguts.ValidHeaderFieldValue(line) {
+		return errors.New("control byte in a field")
+	}
+	return nil
+}
