A response with two ends, or with chunks in HTTP/1.0, is no response

Callers got the chunks' own bytes as the body of an HTTP/1.0 answer with a Transfer-Encoding; of an answer with both that and a length, requester dropped the length and took the rest for sound.

Cause: net/http leaves a transfer coding in HTTP/1.0 out, and a length beside one, so that nobody sees afterwards that they were there. By RFC 9112 (6.1, 6.3) the framing of the first is faulty, and the second is to be taken for an error.

Both a coding and a length with a body that is not chunked was refused already (502, its chunks are malformed); kept.

Change: validator looks for both fields at the end of the head.

--- a/internal/network/validator/validator.go
+++ b/internal/network/validator/validator.go
@@ -49,6 +49,10 @@
 	lines      int
 	isComplete bool
 	status     int
+	// minor is the minor version of the protocol.
+	minor byte
+	// hasCoding and hasLength are set once there is a Transfer-Encoding or a Content-Length.
+	hasCoding, hasLength bool
 }
 
 // IsComplete reports whether the head has ended, and IsInterim whether another one follows.
@@ -80,7 +84,7 @@
 		return h.checkStatusLine(string(line))
 	case len(line) == 0:
 		h.isComplete = true
-		return nil
+		return h.checkLength()
 	case line[0] == ' ' || line[0] == '\t':
 		return h.checkFolded(string(line))
 	}
@@ -95,6 +99,7 @@
 	if !isKnown || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' {
 		return errors.New("unknown version")
 	}
+	h.minor = minor[0]
 	code, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.ParseUint(code, 10, 0)
 	if err != nil || len(code) != statusLength || status < http.StatusContinue || status > maxStatus {
@@ -119,6 +124,8 @@
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return errors.New("control byte in a field")
 	}
+	h.hasCoding = h.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
+	h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
 	return nil
 }
 
@@ -132,3 +139,14 @@
 	}
 	return nil
 }
+
+// checkLength checks that the fields agree on where the body ends.
+func (h *Head) checkLength() error {
+	switch {
+	case h.hasCoding && h.hasLength:
+		return errors.New("both a transfer coding and a length")
+	case h.hasCoding && h.minor == '0':
+		return errors.New("transfer coding in HTTP/1.0")
+	}
+	return nil
+}
