Check the heads of responses that an http.Client reads

The product's own gateway (gateway/forwarder), the runners' identities and orders (runner/caller), the store of the stand-ins (internal/platform/ client) and the operator's commands took the same malformed heads for responses as requester did: 600 and 999 went to callers, 000 was a status, and a blank in a name was passed over.

Change: dialer.HTTPClient's connections check the bytes of heads with network/validator as they are read, from the moment that a request has got the connection; the response is returned only if its head was found sound, and its connection closed otherwise. A head that was there before the request is refused too. The operator's commands use this client. The errors are those of a connection that broke after the request was sent, so the outcome of a write or of a caller's request is unknown.

Ruled out: to fail the read of such bytes: http.Transport would repeat a request without a body on another connection by itself. To replace the transport by requester: another pool, other time-outs, no gain.

--- a/internal/cli/commander/operate.go
+++ b/internal/cli/commander/operate.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	adminserver "marjorammoor/internal/admin/server"
+	"marjorammoor/internal/network/dialer"
 	"marjorammoor/internal/objects/parser"
 	"marjorammoor/internal/platform/client"
 )
@@ -50,7 +51,7 @@
 	if version != client.MustNotExist {
 		req.Header.Set("If-Match", strconv.FormatInt(version, 10))
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := (&dialer.Dialer{Timeout: callTimeout}).HTTPClient(-1).Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "cannot reach a node at %s", c.Admin)
 	}
--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -79,17 +79,17 @@
 
 // HTTPClient returns a client that keeps up to perHost idle connections to each
 // address, or none if perHost is negative. It follows no redirects, because that would
-// send a request a second time. It sets no timeout for a call; the caller's context
-// must limit it.
+// send a request a second time. It returns no response whose head is malformed, with
+// validator.ErrMalformed. It sets no timeout for a call; the caller's context must limit it.
 func (d *Dialer) HTTPClient(perHost int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         d.DialContext,
+		Transport: &transport{&http.Transport{
+			DialContext:         d.dialChecked,
 			MaxIdleConnsPerHost: perHost,
 			DisableKeepAlives:   perHost < 0,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
