Reset callers of HTTP/1.0 whose response broke off

Callers of HTTP/1.1 miss the last chunk.

Cause: without chunks, a response that has no length ends with its connection, and the node closed that with a FIN, as after a whole one.

Change: from the head of such a response until it is whole, the caller's connection lingers for 0 s, so that each close is a reset, whoever closes: an abort, the end of the grace period, the death of the process. The own gateway, which begins such a body in one place only, takes the connection over and resets it there.

Ruled out: a reset in the abort alone, which leaves out all other closes; to keep streams of such callers until they are whole; a reset of callers of HTTP/1.1 too, which would lose events that are on their way.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -202,7 +202,7 @@
 		return nil
 	}
 	if _, err := io.Copy(rw.w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		rw.abort()
 	}
 	return nil
 }
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -341,7 +341,7 @@
 		return failure
 	}
 	if !rw.isStream {
-		panic(http.ErrAbortHandler)
+		rw.abort()
 	}
 	responder.CountFailure(failure)
 	rw.w.Header().Set(responder.HeaderOutcome, string(failure.Outcome))
@@ -349,3 +349,16 @@
 	_ = rw.flush()
 	return nil
 }
+
+// abort resets the connection of a started response, so that it does not look whole. In HTTP/1.0, one
+// without a length ends with its connection.
+func (rw *responseWriter) abort() {
+	conn, _, err := http.NewResponseController(rw.w).Hijack()
+	if err == nil {
+		if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+			_ = c.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/node/server/caller_conn_test.go
+++ b/internal/node/server/caller_conn_test.go
@@ -94,6 +94,7 @@
 
 type callerServer struct {
 	node    *Node
+	server  *http.Server
 	address string
 }
 
@@ -120,7 +121,7 @@
 	s := n.callerServer()
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return &callerServer{node: n, address: l.Addr().String()}
+	return &callerServer{node: n, server: s, address: l.Addr().String()}
 }
 
 func (s *callerServer) setLimits(l connectionLimits) {
--- a/internal/node/server/caller_response.go
+++ b/internal/node/server/caller_response.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/network/acceptor"
 	"marjorammoor/internal/peer/deliverer"
 )
 
@@ -37,6 +38,17 @@
 	// started is set once the status was written.
 	started     bool
 	writeFailed bool
+	// old is the connection of a caller of HTTP/1.0, or nil.
+	old *acceptor.Conn
+}
+
+// newCallerResponse returns the response to a request.
+func newCallerResponse(rw http.ResponseWriter, r *http.Request) *callerResponse {
+	w := &callerResponse{ResponseWriter: rw}
+	if !r.ProtoAtLeast(1, 1) {
+		w.old = acceptedConn(r.Context())
+	}
+	return w
 }
 
 // Unwrap is used by http.ResponseController.
@@ -45,6 +57,11 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *callerResponse) WriteHeader(status int) {
 	w.started = true
+	if w.old != nil && w.Header().Get("Content-Length") == "" {
+		// Its end is that of the connection. By whatever cause that ends before the response is whole,
+		// the caller gets a reset.
+		_ = w.old.SetLinger(0)
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
@@ -63,6 +80,13 @@
 	return err
 }
 
+// finish records that the response is whole.
+func (w *callerResponse) finish() {
+	if w.old != nil && !w.writeFailed {
+		_ = w.old.SetLinger(-1)
+	}
+}
+
 func (w *callerResponse) recordWrite(err error) {
 	if err != nil && !w.writeFailed {
 		w.writeFailed = true
--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -60,7 +60,7 @@
 // serve reads, admits and serves one request of a caller, or of another node that hands it
 // over.
 func (n *Node) serve(rw http.ResponseWriter, r *http.Request, d *deliverer.Delivery) {
-	w := &callerResponse{ResponseWriter: rw}
+	w := newCallerResponse(rw, r)
 	defer n.answerPanic(w, d)
 	arrived := time.Now()
 	if d != nil {
@@ -172,6 +172,7 @@
 		n.fail(w, c, d, failure)
 		return
 	}
+	w.finish()
 	from := ""
 	if d != nil {
 		from = d.Node
@@ -215,4 +216,5 @@
 	n.closeIfStopping(w.Header())
 	reply(w, d, c, f)
 	n.Platform.WriteFailure(w, f)
+	w.finish()
 }
