Mutants of the guards of answers; a FIN needs no end of the upload

For one there was no test: an answer that ends by FIN is served though its server reads no more of the upload.

--- a/internal/network/requester/reset_upload_test.go
+++ b/internal/network/requester/reset_upload_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// TestAnswerThatEndsDuringTheUploadIsServedAtOnce guards against an answer that waits for the end of an
+// upload, although its server has ended its side and need not read on.
+func TestAnswerThatEndsDuringTheUploadIsServedAtOnce(t *testing.T) {
+	t.Parallel()
+	client, server := tcpPair(t)
+	served := make(chan struct{})
+	go func() {
+		defer server.Close() //nolint:errcheck
+		_, _ = io.WriteString(server, partOfAnswer)
+		_ = server.(*net.TCPConn).CloseWrite()
+		select {
+		case <-served:
+		case <-time.After(closeBound):
+			t.Error("the answer is not served while the server reads no more")
+		}
+	}()
+	response, err := (&Client{Dial: dialOnce(client)}).Do(t.Context(), &Request{Method: http.MethodPost, Address: "x", Target: "/x", Host: "h", Body: make([]byte, uploadBytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		t.Error(err)
+	}
+	close(served)
+}
+
 // play sends one request and reports whether its answer counts as complete.
 func (x *uploadEnd) play(t *testing.T) bool {
 	t.Helper()
