Check heads line by line, and name the connection of an HTTP/1.0 caller

Read as a newcomer: a Head kept a copy of the part of a line that had arrived, beside the copy that requester keeps of the whole head, so an endless line was held twice. It takes whole lines now; only dialer's connections, which see pieces, keep the part of a line. The bytes that requester reads once more are let go when they are read.

--- a/internal/network/detector/detector.go
+++ b/internal/network/detector/detector.go
@@ -50,7 +50,7 @@
 func New(nc net.Conn) *Conn {
 	c := &Conn{Conn: nc}
 	if s, ok := nc.(syscall.Conn); ok {
-		// A connection that is closed already has no other use.
+		// If that fails, nc is closed already, and so are all reads of it.
 		c.raw, _ = s.SyscallConn()
 	}
 	return c
--- a/internal/network/dialer/heads_test.go
+++ b/internal/network/dialer/heads_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -40,11 +41,27 @@
 				want = "body"
 			}
 			checkBodies(t, []string{answer}, []string{want})
+			checkPieces(t, []byte(answer), x.Sound)
 			checkBodies(t, []string{soundResponse, answer}, []string{"sound", want})
 		})
 	}
 }
 
+// checkPieces checks the head of an answer that arrives in pieces.
+func checkPieces(t *testing.T, answer []byte, isSound bool) {
+	t.Helper()
+	for _, size := range []int{1, 7} {
+		c := &headConn{}
+		c.expect()
+		for piece := range slices.Chunk(answer, size) {
+			c.check(piece)
+		}
+		if err := c.checked(); (err == nil) != isSound {
+			t.Errorf("in pieces of %d bytes: %v", size, err)
+		}
+	}
+}
+
 // TestEarlyHeadIsNoResponse guards against a malformed head that is not checked since it has arrived
 // with the response before.
 func TestEarlyHeadIsNoResponse(t *testing.T) {
--- a/internal/network/dialer/transport.go
+++ b/internal/network/dialer/transport.go
@@ -48,8 +48,10 @@
 	net.Conn
 
 	mu sync.Mutex
-	// head is that of the response to the current request. What is read behind it is body.
+	// head is that of the response to the current request, and line the part of its next line that has
+	// arrived. What is read behind the head is body.
 	head validator.Head
+	line []byte
 	err  error
 }
 
@@ -64,13 +66,16 @@
 func (c *headConn) check(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(b) > 0 && c.err == nil && !c.head.IsComplete() {
-		end := bytes.IndexByte(b, '\n') + 1
-		if end == 0 {
-			end = len(b)
+	for part := range bytes.Lines(b) {
+		if c.err != nil || c.head.IsComplete() {
+			return
 		}
-		c.err = c.head.Add(b[:end])
-		b = b[end:]
+		c.line = append(c.line, part...)
+		if part[len(part)-1] != '\n' {
+			return
+		}
+		c.err = c.head.Add(c.line)
+		c.line = c.line[:0]
 		if c.head.IsInterim() {
 			c.head = validator.Head{}
 		}
@@ -81,7 +86,7 @@
 func (c *headConn) expect() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.err = validator.Head{}, nil
+	c.head, c.line, c.err = validator.Head{}, nil, nil
 }
 
 // checked returns nil if the head that was read last is sound.
--- a/internal/network/requester/conn.go
+++ b/internal/network/requester/conn.go
@@ -58,7 +58,9 @@
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if len(l.unread) > 0 {
 		n := copy(p, l.unread)
-		l.unread = l.unread[n:]
+		if l.unread = l.unread[n:]; len(l.unread) == 0 {
+			l.unread = nil
+		}
 		return n, nil
 	}
 	if l.remaining <= 0 {
@@ -121,19 +123,22 @@
 
 // checkHead reads the head of the next response and checks it. The reader then returns it once more.
 func (c *conn) checkHead() error {
-	read, head := make([]byte, 0, headSize), validator.Head{}
+	read, begin, head := make([]byte, 0, headSize), 0, validator.Head{}
 	for !head.IsComplete() {
-		line, err := c.reader.ReadSlice('\n')
+		b, err := c.reader.ReadSlice('\n')
+		read = append(read, b...)
 		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
-		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
 			return fmt.Errorf("read head: %w", err)
 		}
-		read = append(read, line...)
-		if err := head.Add(line); err != nil {
+		if err := head.Add(read[begin:]); err != nil {
 			return fmt.Errorf("check head: %w", err)
 		}
+		begin = len(read)
 	}
 	ahead, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
--- a/internal/network/validator/validator.go
+++ b/internal/network/validator/validator.go
@@ -43,9 +43,7 @@
 
 // Head checks the head of one response. The zero value waits for the status line.
 type Head struct {
-	// line is the part of a line that has arrived.
-	line []byte
-	// lines is the number of lines before it.
+	// lines is the number of lines so far.
 	lines      int
 	isComplete bool
 	status     int
@@ -55,29 +53,24 @@
 	hasCoding, hasLength bool
 }
 
-// IsComplete reports whether the head has ended, and IsInterim whether another one follows.
+// IsComplete reports whether the head has ended.
 func (h *Head) IsComplete() bool { return h.isComplete }
 
-// IsInterim reports whether the head is that of an interim response.
+// IsInterim reports whether the head has ended and is that of an interim response, so that another
+// one follows.
 func (h *Head) IsInterim() bool { return h.isComplete && h.status < http.StatusOK }
 
-// Add adds the next bytes, up to the end of a line at most.
-func (h *Head) Add(b []byte) error {
-	h.line = append(h.line, b...)
-	line, isWhole := bytes.CutSuffix(h.line, []byte("\n"))
-	if !isWhole {
-		return nil
-	}
-	line = bytes.TrimSuffix(line, []byte("\r"))
+// Add adds the next line, with its end.
+func (h *Head) Add(line []byte) error {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 	if err := h.check(line); err != nil {
 		return fmt.Errorf("%w: %w: %.*q", ErrMalformed, err, maxShownBytes, line)
 	}
-	h.line = h.line[:0]
 	h.lines++
 	return nil
 }
 
-// check checks a whole line.
+// check checks a line without its end.
 func (h *Head) check(line []byte) error {
 	switch {
 	case h.lines == 0:
--- a/internal/network/validator/validator_test.go
+++ b/internal/network/validator/validator_test.go
@@ -1,7 +1,6 @@
 package validator
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"os"
@@ -30,32 +29,24 @@
 	}
 	for _, x := range list {
 		t.Run(x.Name, func(t *testing.T) {
-			text := []byte(strings.ReplaceAll(x.Head, "{}", strings.Repeat("x", x.Repeat)))
-			for _, size := range []int{1, 7, len(text)} {
-				isComplete, err := add(text, size)
-				if isSound := err == nil && isComplete; isSound != x.Sound {
-					t.Errorf("by %d bytes: complete %t, %v; want sound %t", size, isComplete, err, x.Sound)
-				}
-				if err != nil && !errors.Is(err, ErrMalformed) {
-					t.Errorf("by %d bytes: %v", size, err)
-				}
+			isComplete, err := add(strings.ReplaceAll(x.Head, "{}", strings.Repeat("x", x.Repeat)))
+			if isSound := err == nil && isComplete; isSound != x.Sound {
+				t.Errorf("complete %t, %v; want sound %t", isComplete, err, x.Sound)
+			}
+			if err != nil && !errors.Is(err, ErrMalformed) {
+				t.Error(err)
 			}
 		})
 	}
 }
 
-// add adds the heads of responses by so many bytes, and reports whether the final one is complete.
-func add(text []byte, size int) (bool, error) {
+// add adds the heads of responses, and reports whether the final one is complete.
+func add(text string) (bool, error) {
 	h := &Head{}
-	for len(text) > 0 {
-		n := min(size, len(text))
-		if end := bytes.IndexByte(text[:n], '\n'); end >= 0 {
-			n = end + 1
-		}
-		if err := h.Add(text[:n]); err != nil {
+	for line := range strings.Lines(text) {
+		if err := h.Add([]byte(line)); err != nil {
 			return false, err
 		}
-		text = text[n:]
 		if h.IsInterim() {
 			h = &Head{}
 		}
--- a/internal/node/server/caller_response.go
+++ b/internal/node/server/caller_response.go
@@ -38,15 +38,15 @@
 	// started is set once the status was written.
 	started     bool
 	writeFailed bool
-	// old is the connection of a caller of HTTP/1.0, or nil.
-	old *acceptor.Conn
+	// http10 is the connection of a caller of HTTP/1.0, or nil.
+	http10 *acceptor.Conn
 }
 
 // newCallerResponse returns the response to a request.
 func newCallerResponse(rw http.ResponseWriter, r *http.Request) *callerResponse {
 	w := &callerResponse{ResponseWriter: rw}
 	if !r.ProtoAtLeast(1, 1) {
-		w.old = acceptedConn(r.Context())
+		w.http10 = acceptedConn(r.Context())
 	}
 	return w
 }
@@ -57,10 +57,10 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *callerResponse) WriteHeader(status int) {
 	w.started = true
-	if w.old != nil && w.Header().Get("Content-Length") == "" {
+	if w.http10 != nil && w.Header().Get("Content-Length") == "" {
 		// Its end is that of the connection. By whatever cause that ends before the response is whole,
 		// the caller gets a reset.
-		_ = w.old.SetLinger(0)
+		_ = w.http10.SetLinger(0)
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
@@ -82,8 +82,8 @@
 
 // finish records that the response is whole.
 func (w *callerResponse) finish() {
-	if w.old != nil && !w.writeFailed {
-		_ = w.old.SetLinger(-1)
+	if w.http10 != nil && !w.writeFailed {
+		_ = w.http10.SetLinger(-1)
 	}
 }
 
