Test the early head where http.Transport does not; word what was shown

Read as a newcomer: TestEarlyHeadIsNoResponse passed without the check that it names, since an http.Transport mostly closes such a connection by itself. It checks the connection too now, and fails without the check ("the early head: <nil>").

--- a/internal/network/dialer/heads_test.go
+++ b/internal/network/dialer/heads_test.go
@@ -63,9 +63,20 @@
 }
 
 // TestEarlyHeadIsNoResponse guards against a malformed head that is not checked since it has arrived
-// with the response before.
+// with the response before. An http.Transport closes the connection if it sees such bytes in time.
 func TestEarlyHeadIsNoResponse(t *testing.T) {
-	checkBodies(t, []string{soundResponse + "HTTP/1.1 200 OK\r\nX Bad: y\r\nContent-Length: 5\r\n\r\nearly"}, []string{"sound", ""})
+	const early = "HTTP/1.1 200 OK\r\nX Bad: y\r\nContent-Length: 5\r\n\r\nearly"
+	checkBodies(t, []string{soundResponse + early}, []string{"sound", ""})
+	c := &headConn{}
+	c.expect()
+	c.check([]byte(soundResponse + early))
+	if err := c.checked(); err != nil {
+		t.Errorf("the first head: %v", err)
+	}
+	c.expect()
+	if err := c.checked(); !errors.Is(err, errEarlyHead) {
+		t.Errorf("the early head: %v", err)
+	}
 }
 
 // checkBodies sends a request for each body that is wanted to a server that answers the requests on a
