--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -39,6 +39,7 @@
 	"last_tenant":    lastTenant,
 	"many_fields":    manyFields,
 	"many_parts":     manyParts,
+	"odd_domain":     oddDomainEntry,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -84,6 +84,14 @@
 	return o, true
 }
 
+// find returns an object.
+func (s *store) find(kind, name string) (object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	return o, ok
+}
+
 func (s *store) remove(kind, name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,9 +126,7 @@
 	case r.Method == http.MethodGet && r.URL.Query().Has("subscription"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet && hasName:
-		s.mu.Lock()
-		o, ok := s.objects[kind][name]
-		s.mu.Unlock()
+		o, ok := s.find(kind, name)
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -55,6 +55,8 @@
 	// patience how long their callers wait.
 	path, prompt string
 	patience     time.Duration
+	// hasModels is set if the configuration has a service with models.
+	hasModels bool
 	// crashDelay is the time from the start of a request to the crash of its runner.
 	crashDelay time.Duration
 
@@ -111,6 +113,17 @@
 	return w.awaitReady()
 }
 
+// poolService is a service with models.
+var poolService = map[string]any{
+	"name": "pool", "health_check": "/healthz", "max_connections": 268, "protocol": "h1", "tls": false,
+	"backend": map[string]any{
+		"batch_slots": 17, "kv_capacity_tokens": 1860000, "steps_per_pass": 5, "step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096,
+		"read_per_s": 45900.0, "pairs_per_m": 0.433, "chunk": 2048, "loads_per_s": 5.0, "loads_at_once": 7, "formation_ms": 300.0,
+		"usual":  map[string]any{"prompt": 979, "answer": 154},
+		"models": []map[string]any{{"name": "rada7437b5", "size": 2, "initial_share": 1.0, "pace": 0.6, "load_time_s": 12.0, "warmup_s": 1.1}},
+	},
+}
+
 // tenant is one of the configuration.
 type tenant struct {
 	Name string   `json:"name"`
@@ -120,13 +133,17 @@
 // configure writes the next version of the configuration. The store's answer acknowledges it.
 func (w *world) configure(tenants []tenant) {
 	w.version += 3
+	services := []map[string]any{{"name": "desk", "health_check": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false}}
+	if w.hasModels {
+		services = append(services, poolService)
+	}
 	spec, _ := json.Marshal(map[string]any{
 		"version": w.version,
 		"routes": []map[string]any{
 			{"name": "post", "hostname": "ficu95.example", "path_prefix": "/puxa403/", "type": "non_idempotent", "timeout_ms": 4000, "target_latency_ms": 300, "priority": 2, "service": "desk", "max_attempts": 2, "public": false},
 			{"name": "check", "hostname": "ficu95.example", "path_prefix": "/cufi504/", "type": "idempotent", "timeout_ms": 4000, "target_latency_ms": 300, "priority": 2, "service": "desk", "max_attempts": 3, "public": false},
 		},
-		"services": []map[string]any{{"name": "desk", "health_check": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false}},
+		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  tenants,
 	})
@@ -206,6 +223,13 @@
 	return nil
 }
 
+// kill ends the process with SIGKILL.
+func (n *node) kill() {
+	_ = n.cmd.Process.Signal(syscall.SIGKILL)
+	<-n.exited
+	n.world.record.note("node %s was killed", n.name)
+}
+
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second}
 	r, err := c.Get("http://" + n.ip + ":8220/marjorammoor/readyz")
