Keep callers out when the last credential is withdrawn

Cause: the configuration's need for credentials was derived from the length of its list of teams, so that a withdrawal of the last team read like a configuration without teams; and the catalog's zero value let everyone in. The tests of catalogs set HasTeams by hand, which hid the derivation.

Tests of the node that need an open catalog say so now; those of admission use the default.

Looked at for the same shape: the product's own interface (an unknown team is refused, an empty token matches nothing), public routes (false unless set), revocation (the timeout must be above 0, stale configurations are always refused), limits of callers (0 and a missing one are the node's own bounds, never none), retries and loads of weights (0 allows none).

--- a/internal/node/server/caller_leave_test.go
+++ b/internal/node/server/caller_leave_test.go
@@ -178,7 +178,7 @@
 	n := s.node
 	n.tracker.SetServices(map[string]*matcher.Service{"s": {Name: "s"}})
 	n.tracker.Replace([]*tracker.Runner{{ID: "r1", Service: "s", Address: address, State: tracker.Ready, Slots: 1}}, 0)
-	c := &matcher.Catalog{Services: map[string]*matcher.Service{"s": {Name: "s"}}}
+	c := &matcher.Catalog{IsOpen: true, Services: map[string]*matcher.Service{"s": {Name: "s"}}}
 	c.AddRoutes([]*matcher.Route{{
 		Host: "h.example", PathPrefix: "/", Type: types[routeType], Resumable: true, MaxAttempts: 2, Timeout: leavingDeadline,
 		TargetLatency: time.Second, Targets: []matcher.Target{{Service: "s", Weight: 1}},
--- a/internal/node/server/slow_bodies_test.go
+++ b/internal/node/server/slow_bodies_test.go
@@ -143,7 +143,7 @@
 // useKeys gives the node a configuration with one route and one key, and has answers tell their
 // reason.
 func (s *callerServer) useKeys() {
-	c := &matcher.Catalog{HasTeams: true, Services: map[string]*matcher.Service{"s": {Name: "s"}}}
+	c := &matcher.Catalog{Services: map[string]*matcher.Service{"s": {Name: "s"}}}
 	c.AddRoutes([]*matcher.Route{{Host: "h.example", PathPrefix: "/", Type: matcher.Idempotent, MaxAttempts: 1, Timeout: 20 * time.Second, Targets: []matcher.Target{{Service: "s", Weight: 1}}}})
 	c.AddCredential("known", &matcher.Team{Name: "team"})
 	p := s.node.Platform
--- a/internal/node/server/stop_test.go
+++ b/internal/node/server/stop_test.go
@@ -265,7 +265,7 @@
 // stopCatalog has routes that allow more time than is left, one that needs little and one that
 // needs more than the grace period.
 func stopCatalog() *matcher.Catalog {
-	c := &matcher.Catalog{Version: 1, Services: map[string]*matcher.Service{"s": {Name: "s"}}}
+	c := &matcher.Catalog{Version: 1, IsOpen: true, Services: map[string]*matcher.Service{"s": {Name: "s"}}}
 	routes := []*matcher.Route{}
 	for _, r := range []matcher.Route{
 		{Name: "post", Type: matcher.NonIdempotent, Timeout: 20 * time.Second, TargetLatency: 300 * time.Millisecond},
--- a/internal/node/server/verdicts_test.go
+++ b/internal/node/server/verdicts_test.go
@@ -135,7 +135,6 @@
 // decodeRoute decodes a configuration of a version, with one route and one credential.
 func decodeRoute(spec []byte) (*matcher.Catalog, error) {
 	c, err := decodeVersion(spec)
-	c.HasTeams = true
 	c.AddCredential("key", &matcher.Team{Name: "red"})
 	c.AddRoutes([]*matcher.Route{{Host: "h", PathPrefix: "/known/", Targets: []matcher.Target{{Service: "s", Weight: 1}}}})
 	return c, err
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -134,7 +134,7 @@
 
 // authenticate sets the team and priority of the call from the caller's credential.
 func (a *Admitter) authenticate(c *matcher.Catalog, in *Incoming, call *relayer.Call, age time.Duration) *responder.Failure {
-	if !c.HasTeams || call.Route.Public {
+	if c.IsOpen || call.Route.Public {
 		return nil
 	}
 	if age > time.Duration(float64(a.RevocationTimeout())*credentialAgeShare) {
--- a/internal/serving/admitter/admitter_test.go
+++ b/internal/serving/admitter/admitter_test.go
@@ -33,7 +33,7 @@
 }
 
 func catalog() *matcher.Catalog {
-	c := &matcher.Catalog{Version: 3, HasTeams: true, Services: map[string]*matcher.Service{"one": {Name: "one"}, "two": {Name: "two"}, "engine": {
+	c := &matcher.Catalog{Version: 3, Services: map[string]*matcher.Service{"one": {Name: "one"}, "two": {Name: "two"}, "engine": {
 		Name: "engine", Engine: &matcher.Engine{Models: []matcher.Model{{Name: "m", Size: 2}}},
 	}, "plain_engine": {Name: "plain_engine", Engine: &matcher.Engine{}}}}
 	route := func(prefix, service string, priority int, public bool) *matcher.Route {
--- a/internal/serving/matcher/matcher.go
+++ b/internal/serving/matcher/matcher.go
@@ -160,8 +160,9 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	// HasTeams is set if requests need a credential, unless their route is public.
-	HasTeams bool
+	// IsOpen is set if no request needs a credential. Otherwise all do but those of public
+	// routes, also if no team holds one.
+	IsOpen bool
 
 	// hosts holds the routes by hostKey, those with the longest prefix first.
 	hosts map[string][]pathRoute
