Let a node without entries take over unanswered requests

View.Runner now answers for a missing view, in all places that looked into it. The test panicked before.

--- a/internal/node/server/ends_test.go
+++ b/internal/node/server/ends_test.go
@@ -136,3 +136,18 @@
 		}
 	}
 }
+
+// TestNodeWithoutEntriesTakesOverRequests guards against a node that ends because a node that stops
+// leaves it requests before it has the entries of any runner.
+func TestNodeWithoutEntriesTakesOverRequests(t *testing.T) {
+	x := &endCase{Runners: 1}
+	n := x.newNode(0)
+	n.breaker.MayTry = nil
+	n.receiveHeartbeat(&beater.Heartbeat{Node: "n2", DataCenter: "dc", Breaker: breaker.Report{
+		Unanswered: []breaker.ReportedUnanswered{{Runner: "r", Address: "127.0.0.1:1", BootTime: 7, Keys: []string{"part"}}},
+	}})
+	n.breaker.Judge()
+	if len(n.breaker.ReportUnanswered()) != 1 {
+		t.Error("the request is not kept")
+	}
+}
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -236,7 +236,7 @@
 // sign returns what this node has learned of a runner since a time without asking it. The entries
 // show a later start under the same ID.
 func (n *Node) sign(r breaker.Runner, since time.Time) breaker.Sign {
-	listed, ok := n.tracker.View().Runners[r.ID]
+	listed, ok := n.tracker.View().Runner(r.ID)
 	switch {
 	case ok && r.BootTime != 0 && listed.BootTime > r.BootTime:
 		return breaker.Ended
--- a/internal/node/server/objects.go
+++ b/internal/node/server/objects.go
@@ -64,7 +64,7 @@
 			}
 			continue
 		}
-		old, ok := n.tracker.View().Runners[r.ID]
+		old, ok := n.tracker.View().Runner(r.ID)
 		switch {
 		case !ok:
 			added++
--- a/internal/node/server/outage_test.go
+++ b/internal/node/server/outage_test.go
@@ -42,7 +42,7 @@
 				n.receiveHeartbeat(&beater.Heartbeat{Node: "n2", StoreAgeMS: age.Milliseconds()})
 			}
 			n.replaceRunners([]follower.Object{{Name: "stays"}}, follower.Listing{Outage: outage})
-			if _, isKept := n.tracker.View().Runners["leaves"]; isKept != x.isKept {
+			if _, isKept := n.tracker.View().Runner("leaves"); isKept != x.isKept {
 				t.Errorf("runner without an entry is used: %v, want %v", isKept, x.isKept)
 			}
 		})
--- a/internal/node/server/peers.go
+++ b/internal/node/server/peers.go
@@ -214,7 +214,7 @@
 func (n *Node) limitInFlight(b *beater.Heartbeat, dataCenter string) {
 	view := n.tracker.View()
 	for id := range b.InFlight {
-		if r, ok := view.Runners[id]; !ok || r.DataCenter != dataCenter {
+		if r, ok := view.Runner(id); !ok || r.DataCenter != dataCenter {
 			delete(b.InFlight, id)
 		}
 	}
--- a/internal/node/server/reach.go
+++ b/internal/node/server/reach.go
@@ -172,7 +172,7 @@
 
 // isCutOff reports whether a runner is out of reach because this node has lost its links.
 func (n *Node) isCutOff(id string) bool {
-	r, ok := n.tracker.View().Runners[id]
+	r, ok := n.tracker.View().Runner(id)
 	return ok && n.observer.IsGroupLost(r.Address)
 }
 
--- a/internal/serving/tracker/expire_test.go
+++ b/internal/serving/tracker/expire_test.go
@@ -15,7 +15,7 @@
 	}
 	check := func(when string, isUsed, isKept bool) {
 		t.Helper()
-		r, ok := tr.View().Runners["r"]
+		r, ok := tr.View().Runner("r")
 		if ok != isUsed || ok && r.IsKept != isKept {
 			t.Errorf("%s: %+v, want used %t, kept %t", when, r, isUsed, isKept)
 		}
--- a/internal/serving/tracker/tracker.go
+++ b/internal/serving/tracker/tracker.go
@@ -123,6 +123,15 @@
 	return v.targets[targetKey{service, model}]
 }
 
+// Runner returns the runner with an ID.
+func (v *View) Runner(id string) (*Runner, bool) {
+	if v == nil {
+		return nil, false
+	}
+	r, ok := v.Runners[id]
+	return r, ok
+}
+
 // Target returns the target with an ID.
 func (v *View) Target(id string) (*Target, bool) {
 	if v == nil {
