--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -114,6 +114,9 @@
 	if failure := a.authenticate(c, in, call, age); failure != nil {
 		return nil, failure
 	}
+	if call.Service == "" {
+		return nil, unavailable(in, responder.ReasonNoReplica, "the route sends its requests to no service")
+	}
 	a.fillCall(c, in, call)
 	if !hasModel(c.Services[call.Service], in.Model) {
 		return nil, unavailable(in, responder.ReasonUnknownModel, "the configuration has no model "+strconv.Quote(in.Model))
--- a/internal/serving/matcher/matcher.go
+++ b/internal/serving/matcher/matcher.go
@@ -251,17 +251,15 @@
 	return t, ok
 }
 
-// PickService returns one of the route's services, chosen at random by weight.
+// PickService returns one of the route's services, chosen at random by weight, or "" if none has a
+// share of the requests.
 func (r *Route) PickService() string {
 	total := 0
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
 	if total <= 0 {
-		if len(r.Targets) == 0 {
-			return ""
-		}
-		return r.Targets[0].Service
+		return ""
 	}
 	n := rand.IntN(total)
 	for _, t := range r.Targets {
