Keep and tell all parts of a prompt, by hashes and within bounds

Cause: a bound that drops without a word. Only the first 64 parts, with IDs of at most 64 bytes, reached the breaker, and only the first field of a list that is spread over several. Behind it were two more: 512 suspects are fewer than one long prompt has parts, so that one such crash dropped the evidence against everything else, and a report named all keys or none.

Ruled out: to lift the bound alone.

Change: a key is a hash of 8 bytes, for parts as for requests. Parts are read from the header when they are needed, all of them. Evidence is kept by crash: 256 crashes, 32 Ki keys together; when it is full, what the oldest crashes have in common with no other one goes first. Proofs are kept for 64 Ki keys in two generations. Reports carry 384 keys of crashes: first those that a second crash has in common or that never proved sound, the deepest always and the others in turns. Unanswered requests hold 64 Ki keys; the one with the most makes room. Each drop is counted by kind and logged every ten seconds at most. Keys that older builds report still count; older builds do not read those of this one.

The proof in TestErrorDoesNotProveRequestSound is read from the new field.

--- a/internal/node/server/callers.go
+++ b/internal/node/server/callers.go
@@ -200,7 +200,7 @@
 	}
 	if c != nil {
 		args = append(args, "service", c.Service, "model", c.Model, "attempts", c.Attempts(), "targets", c.Tried(), "peers", c.TriedPeers(), "waited_for", c.Stage(), "wait_ms", c.Timing.Placed.Milliseconds(),
-			"parts", c.SharedParts, "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
+			"parts", c.PartNames(), "ms", time.Since(c.Arrived).Milliseconds(), "catalog_version", c.CatalogVersion)
 		if f.Outcome == responder.Unknown {
 			args = append(args, "fingerprint", c.Fingerprint())
 		}
--- a/internal/node/server/ends_test.go
+++ b/internal/node/server/ends_test.go
@@ -144,7 +144,7 @@
 	n := x.newNode(0)
 	n.breaker.MayTry = nil
 	n.receiveHeartbeat(&beater.Heartbeat{Node: "n2", DataCenter: "dc", Breaker: breaker.Report{
-		Unanswered: []breaker.ReportedUnanswered{{Runner: "r", Address: "127.0.0.1:1", BootTime: 7, Keys: []string{"part"}}},
+		Unanswered: []breaker.ReportedUnanswered{{Runner: "r", Address: "127.0.0.1:1", BootTime: 7, Keys: make([]byte, 12)}},
 	}})
 	n.breaker.Judge()
 	if len(n.breaker.ReportUnanswered()) != 1 {
--- a/internal/serving/admitter/admitter.go
+++ b/internal/serving/admitter/admitter.go
@@ -14,6 +14,7 @@
 package admitter
 
 import (
+	"iter"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,8 +66,8 @@
 	PromptTokens int
 	MaxOutput    int
 	// SharedParts are the IDs of the parts of the prompt that other requests may have
-	// too, in order.
-	SharedParts []string
+	// too, in order; nil means that there are none.
+	SharedParts iter.Seq[string]
 	// Prompt describes the prompt of a request for a model, as the caller sent it.
 	Prompt string
 	// LastEvent is the ID of the event after which the caller resumes a stream, or
--- a/internal/serving/breaker/block.go
+++ b/internal/serving/breaker/block.go
@@ -32,16 +32,14 @@
 func (k *block) until() time.Time { return k.at.Add(k.length) }
 
 // block blocks a key. b.mu must be held.
-func (b *Breaker) block(key string, k *block) {
+func (b *Breaker) block(key Key, k *block) {
 	if b.blocks == nil {
-		b.blocks = map[string]*block{}
+		b.blocks = map[Key]*block{}
 	}
 	b.blocks[key] = k
-	if s := b.evidence.suspects[key]; s != nil {
-		b.evidence.explain(s.crashes)
-	}
+	b.evidence.explain(b.evidence.under(key))
 	b.updateAlert()
-	if isRequest(key) {
+	if key.isRequest() {
 		requestsBlocked.Inc()
 		return
 	}
@@ -50,7 +48,7 @@
 
 // check returns a *BlockedError if a key is blocked. If the block is over and this node
 // is to try the key, c becomes the request that does, unless c is nil. b.mu must be held.
-func (b *Breaker) check(keys []string, c *Call) error {
+func (b *Breaker) check(keys []Key, c *Call) error {
 	now := b.now()
 	tried := []*block{}
 	for _, p := range keys {
@@ -59,7 +57,7 @@
 		case k == nil || k.try == c && c != nil:
 		case now.Before(k.until()):
 			return &BlockedError{Key: p, RetryAfter: k.until().Sub(now)}
-		case k.try != nil, now.Before(k.triedUntil), b.MayTry != nil && !b.MayTry(p):
+		case k.try != nil, now.Before(k.triedUntil), b.MayTry != nil && !b.MayTry(p.String()):
 			return &BlockedError{Key: p, RetryAfter: tryRetryAfter}
 		default:
 			tried = append(tried, k)
@@ -87,10 +85,10 @@
 }
 
 // blockAgain blocks a key whose block was over when a runner ended under it. b.mu must be held.
-func (b *Breaker) blockAgain(key string, k *block, runner string) *BlockedError {
+func (b *Breaker) blockAgain(key Key, k *block, runner string) *BlockedError {
 	length := min(2*k.length, maxBlockTime)
 	b.block(key, &block{at: b.now(), length: length})
-	b.Log.Warn("key of requests that crash runners is blocked again", "key", key, "runner", runner, "for_ms", length.Milliseconds())
+	b.Log.Warn("key of requests that crash runners is blocked again", "key", key.String(), "runner", runner, "for_ms", length.Milliseconds())
 	return &BlockedError{Key: key, RetryAfter: length}
 }
 
--- a/internal/serving/breaker/breaker.go
+++ b/internal/serving/breaker/breaker.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +21,6 @@
 	// soundEvents is the number of events after which a response counts as sound. The
 	// first ones may leave a runner that is about to crash.
 	soundEvents = 4
-	// soundLifetime is how long it is remembered that a key has proved sound.
-	soundLifetime = time.Minute
 	// confirmDelay is the time before each of confirmTries checks whether a runner has
 	// ended after it broke off a request.
 	confirmDelay = 50 * time.Millisecond
@@ -41,17 +39,14 @@
 
 // BlockedError is returned for a request that is blocked or has a blocked part.
 type BlockedError struct {
-	// Key is the ID of the part, or of the request with requestPrefix.
-	Key string
+	// Key is that of the part, or of the request.
+	Key Key
 	// RetryAfter is the time until a request with the key is tried again.
 	RetryAfter time.Duration
 }
 
 // IsRequest reports whether the request itself is blocked, and not a part of its prompt.
-func (e *BlockedError) IsRequest() bool { return isRequest(e.Key) }
-
-// isRequest reports whether a key is that of a whole request.
-func isRequest(key string) bool { return strings.HasPrefix(key, requestPrefix) }
+func (e *BlockedError) IsRequest() bool { return e.Key.isRequest() }
 
 // Error describes the failure.
 func (e *BlockedError) Error() string {
@@ -77,31 +72,37 @@
 	// Sign returns what this node has learned of a runner since a time without asking it; nil
 	// means nothing.
 	Sign func(r Runner, since time.Time) Sign
-	// MayTry reports whether this node is the one that tries a key again when its block
-	// is over; nil means that it is.
-	MayTry func(key string) bool
+	// MayTry reports whether this node, among all, is the one that does something which is left
+	// to a single one, such as trying a key again whose block is over; nil means that it is.
+	MayTry func(name string) bool
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
 	Log *slog.Logger
 
 	calls sharder.Map[*Call, struct{}]
 	// sound holds when a key last proved sound here or, as far as reported, elsewhere.
-	sound sharder.Map[string, time.Time]
+	sound soundTimes
 	// isAlert is set while there is evidence or a block, or may be evidence soon.
 	isAlert atomic.Bool
 
 	mu       sync.Mutex
 	evidence evidence
-	blocks   map[string]*block
+	blocks   map[Key]*block
 	// localCrashes are the last crashes that this node itself has seen, by runner.
 	localCrashes map[string]*localCrash
 	// unanswered are the runners that may still end under requests whose attempts are over.
 	unanswered map[life]*unansweredRunner
+	// unansweredKeys is the sum of their keys.
+	unansweredKeys int
 	// ends are the first known times at which runners had ended.
 	ends map[life]time.Time
 	// announced holds until when reports name a key that has proved sound.
-	announced map[string]time.Time
+	announced map[Key]time.Time
 	expiredAt time.Time
+	// droppedAt is when it was last logged that bounds were reached, and dropped what had been
+	// dropped by then.
+	droppedAt time.Time
+	dropped   dropCounts
 }
 
 func (b *Breaker) now() time.Time {
@@ -124,10 +125,9 @@
 	bootTime  int64
 	// firstSent is when the first of its requests was sent.
 	firstSent time.Time
-	// keys are those of the requests that may have caused it, with their greatest depth, and
-	// weakKeys those of requests whose attempts had ended before.
-	keys, weakKeys map[string]int
-	isConfirmed    bool
+	// keys are those of the requests that may have caused it, by depth, until it is confirmed.
+	keys        [][]Key
+	isConfirmed bool
 }
 
 func (c *localCrash) span() span { return span{c.lived, c.at} }
@@ -140,7 +140,7 @@
 // recordBreak records that a runner broke off a request before it was sound. Whether the
 // runner has ended is checked in the background. A request that was sent to a runner that
 // had ended before is not to blame.
-func (b *Breaker) recordBreak(r Runner, sentAt time.Time, keys []string) {
+func (b *Breaker) recordBreak(r Runner, sentAt time.Time, keys []Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.hadEnded(r.life(), sentAt) {
@@ -150,22 +150,22 @@
 	c := b.localCrashes[r.ID]
 	isNew := c == nil || now.Sub(c.at) > crashMergeTime
 	if isNew {
-		c = &localCrash{at: now, lived: now, bootTime: r.BootTime, firstSent: sentAt, keys: map[string]int{}, weakKeys: map[string]int{}}
+		c = &localCrash{at: now, lived: now, bootTime: r.BootTime, firstSent: sentAt}
 		if b.localCrashes == nil {
 			b.localCrashes = map[string]*localCrash{}
 		}
 		b.localCrashes[r.ID] = c
 	}
-	for depth, p := range keys {
-		c.keys[p] = max(c.keys[p], depth)
-	}
 	if sentAt.Before(c.firstSent) {
 		c.firstSent = sentAt
 	}
+	if c.isConfirmed {
+		b.addCrash(c.crash(r.ID, false), keys)
+		return
+	}
+	c.keys = append(c.keys, keys)
 	if isNew {
 		go b.confirm(r, c)
-	} else if c.isConfirmed {
-		b.addCrash(c.crash(r.ID, false), c.keys)
 	}
 }
 
@@ -213,39 +213,86 @@
 		crashesAttributed.Inc()
 	}
 	b.recordEnd(l, c.at)
-	b.addCrash(c.crash(r.ID, false), c.keys)
-	b.Log.Warn("runner has ended under requests", "runner", r.ID, "keys", names(c.keys))
+	for _, keys := range c.keys {
+		b.addCrash(c.crash(r.ID, false), keys)
+	}
+	b.Log.Warn("runner has ended under requests", "runner", r.ID, "requests", len(c.keys), "keys", b.suspectNames(c.crash(r.ID, false)))
+	c.keys = nil
 	b.blameUnanswered(l, c.span())
 }
 
 // addCrash adds a crash to the evidence against keys that have not proved sound since.
 // One that a blocked key explains does not count. b.mu must be held.
-func (b *Breaker) addCrash(c crash, keys map[string]int) {
+func (b *Breaker) addCrash(c crash, keys []Key) {
+	b.addEvidence(c, depths(keys))
+}
+
+// addEvidence adds a crash to the evidence against keys with their depths. b.mu must be held.
+func (b *Breaker) addEvidence(c crash, keys []deepKey) {
 	if b.evidence.explained.contains(c) {
 		return
 	}
-	for p := range keys {
-		if k := b.blocks[p]; k != nil {
-			if c.from.After(k.until()) {
-				b.blockAgain(p, k, c.runner)
+	for _, k := range keys {
+		if blocked := b.blocks[k.key]; blocked != nil {
+			if c.from.After(blocked.until()) {
+				b.blockAgain(k.key, blocked, c.runner)
 			}
 			b.evidence.explain(crashList{c})
 			return
 		}
 	}
 	now := b.now()
-	for p, depth := range keys {
-		soundAt, ok := b.sound.Get(p)
+	kept := (*keyedCrash)(nil)
+	for _, k := range keys {
+		soundAt, ok := b.sound.get(k.key)
 		if ok && now.Sub(c.until) < announceTime {
-			b.announce(p, now)
+			b.announce(k.key, now)
+		}
+		if !soundAt.Before(c.from) {
+			continue
 		}
-		if soundAt.Before(c.from) {
-			b.evidence.add(p, depth, c, now)
+		if kept == nil {
+			kept = b.evidence.keep(c)
 		}
+		b.evidence.add(kept, k.key, keyEvidence{depth: k.depth, isWeak: c.isWeak, knownAt: now})
 	}
 	b.updateAlert()
 }
 
+// deepKey is a key with its position among those of a request.
+type deepKey struct {
+	key   Key
+	depth int
+}
+
+// depths returns keys with their positions.
+func depths(keys []Key) []deepKey {
+	list := make([]deepKey, len(keys))
+	for i, k := range keys {
+		list[i] = deepKey{k, i}
+	}
+	return list
+}
+
+// maxNamedKeys bounds the keys that a log line names.
+const maxNamedKeys = 16
+
+// suspectNames returns the names of the first keys that a crash speaks against. b.mu must be held.
+func (b *Breaker) suspectNames(c crash) []string {
+	names := []string{}
+	kept := b.evidence.find(c)
+	if kept == nil {
+		return names
+	}
+	for _, k := range slices.Sorted(maps.Keys(kept.keys)) {
+		if len(names) >= maxNamedKeys {
+			break
+		}
+		names = append(names, k.String())
+	}
+	return names
+}
+
 // updateAlert sets isAlert. b.mu must be held.
 func (b *Breaker) updateAlert() {
 	b.isAlert.Store(len(b.evidence.suspects)+len(b.blocks)+len(b.unanswered) > 0)
@@ -256,7 +303,7 @@
 func (b *Breaker) proveSound(c *Call) {
 	now := b.now()
 	if !b.isAlert.Load() {
-		b.setSound(c.request.Parts, now)
+		b.setSound(c.request.partKeys(), now)
 		return
 	}
 	keys := c.keys()
@@ -271,15 +318,15 @@
 	b.updateAlert()
 }
 
-func (b *Breaker) setSound(keys []string, now time.Time) {
+func (b *Breaker) setSound(keys []Key, now time.Time) {
 	for _, k := range keys {
-		b.sound.Set(k, now)
+		b.sound.set(k, now)
 	}
 }
 
 // clear drops what speaks against a key that proved sound at a time, and reports whether
 // there was anything. b.mu must be held.
-func (b *Breaker) clear(key string, soundAt time.Time) bool {
+func (b *Breaker) clear(key Key, soundAt time.Time) bool {
 	hadEvidence := b.evidence.clear(key, soundAt)
 	k := b.blocks[key]
 	if k == nil || k.at.After(soundAt) {
@@ -287,7 +334,7 @@
 	}
 	delete(b.blocks, key)
 	keysCleared.Inc()
-	b.Log.Info("key of requests that crash runners is no longer blocked", "key", key, "reason", "proved sound")
+	b.Log.Info("key of requests that crash runners is no longer blocked", "key", key.String(), "reason", "proved sound")
 	return true
 }
 
@@ -298,25 +345,34 @@
 	now := b.now()
 	b.mu.Lock()
 	blocked := []*BlockedError{}
-	for {
-		key, crashes := b.evidence.verdict(now, b.soundSince(now))
-		if key == "" || len(b.blocks) >= maxBlocks {
+	for b.isVerdictDue(now) {
+		c := b.evidence.verdict(now, b.soundSince(now))
+		if c == nil || len(b.blocks) >= maxBlocks {
 			break
 		}
-		b.block(key, &block{at: now, length: blockTime})
-		b.Log.Warn("key of requests that crash runners is blocked", "key", key, "crashed", crashes, "for_ms", blockTime.Milliseconds())
-		blocked = append(blocked, &BlockedError{Key: key, RetryAfter: blockTime})
+		b.block(c.key, &block{at: now, length: blockTime})
+		b.Log.Warn("key of requests that crash runners is blocked", "key", c.key.String(), "crashed", c.crashes.runners(), "for_ms", blockTime.Milliseconds())
+		blocked = append(blocked, &BlockedError{Key: c.key, RetryAfter: blockTime})
 	}
 	b.expire(now)
 	b.mu.Unlock()
 	b.cancelCalls(blocked)
 }
 
+// recheckTime is how long after the last evidence its age may still change the verdict.
+const recheckTime = verdictDelay + 2*JudgeInterval
+
+// isVerdictDue reports whether there may be another verdict than before. Without new evidence that
+// is so only when proofs expire, which is looked at with what is forgotten. b.mu must be held.
+func (b *Breaker) isVerdictDue(now time.Time) bool {
+	return now.Sub(b.evidence.changedAt) < recheckTime || now.Sub(b.expiredAt) >= expireInterval
+}
+
 // soundSince returns a function that reports whether a key has proved sound within
 // soundLifetime.
-func (b *Breaker) soundSince(now time.Time) func(key string) bool {
-	return func(key string) bool {
-		at, ok := b.sound.Get(key)
+func (b *Breaker) soundSince(now time.Time) func(key Key) bool {
+	return func(key Key) bool {
+		at, ok := b.sound.get(key)
 		return ok && now.Sub(at) < soundLifetime
 	}
 }
@@ -342,11 +398,7 @@
 		}
 	}
 	maps.DeleteFunc(b.ends, func(_ life, at time.Time) bool { return now.Sub(at) > evidenceLifetime })
-	b.sound.Each(func(p string, at time.Time) bool {
-		if now.Sub(at) > soundLifetime {
-			b.sound.Delete(p)
-		}
-		return true
-	})
+	b.sound.expire(now)
 	b.updateAlert()
+	b.logDropped(now)
 }
--- a/internal/serving/breaker/breaker_test.go
+++ b/internal/serving/breaker/breaker_test.go
@@ -35,6 +35,10 @@
 	// Varied is the number of values of the last shared part, or of the request if there is
 	// none; 0 leaves it as it is.
 	Varied int `json:"varied"`
+	// Long is the number of other shared parts, the same ones in all requests, of which so many
+	// as At come before Parts.
+	Long int `json:"long"`
+	At   int `json:"at"`
 	// LeaveMS is how long callers wait; 0 means until the end. Runners go on with what they
 	// have begun.
 	LeaveMS int `json:"leave_ms"`
@@ -161,8 +165,13 @@
 		t.Errorf("%.3f of the sound requests were admitted, wanted at least %.3f", sound, x.MinSound)
 	}
 	for i, b := range s.nodes {
-		if blocked := slices.Sorted(maps.Keys(b.blocks)); !slices.Equal(blocked, x.BlockedAtEnd) {
-			t.Errorf("node %d blocks %v, wanted %v", i, blocked, x.BlockedAtEnd)
+		wanted := []Key{}
+		for _, name := range x.BlockedAtEnd {
+			wanted = append(wanted, parseKey(name))
+		}
+		slices.Sort(wanted)
+		if blocked := slices.Sorted(maps.Keys(b.blocks)); !slices.Equal(blocked, wanted) {
+			t.Errorf("node %d blocks %v, wanted %v (%v)", i, blocked, wanted, x.BlockedAtEnd)
 		}
 	}
 }
@@ -236,6 +245,9 @@
 	case src.Varied > 0:
 		c.request += fmt.Sprint(s.random.IntN(src.Varied))
 	}
+	if src.Long > 0 {
+		c.parts = longPrompt(src.Long, src.At, parts)
+	}
 	if c.request == "" {
 		s.unique++
 		c.request = fmt.Sprint("unique", s.unique)
@@ -256,6 +268,18 @@
 	}
 }
 
+// longPrompt returns so many parts, with others among them.
+func longPrompt(count, at int, others []string) []string {
+	parts := make([]string, 0, count+len(others))
+	for i := range count {
+		if i == at {
+			parts = append(parts, others...)
+		}
+		parts = append(parts, fmt.Sprintf("long%d", i))
+	}
+	return parts
+}
+
 // isLate reports whether the nodes have had their time since the crash number
 // KnownCrashes, or the last one, and an extra time.
 func (s *simulation) isLate(extra time.Duration) bool {
@@ -270,7 +294,7 @@
 // admitted.
 func (s *simulation) send(c *simCall) bool {
 	b := s.nodes[s.random.IntN(len(s.nodes))]
-	call, err := b.Admit(Request{Parts: c.parts, Fingerprint: func() string { return c.request }}, func(error) { c.cancelled = true })
+	call, err := b.Admit(Request{Parts: slices.Values(c.parts), Fingerprint: func() string { return c.request }}, func(error) { c.cancelled = true })
 	if err != nil {
 		return false
 	}
--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -1,31 +1,36 @@
 package breaker
 
 import (
+	"iter"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Request is what may crash runners: shared parts of a prompt, or the request itself.
 type Request struct {
-	// Parts are the shared parts of the prompt, in order.
-	Parts []string
+	// Parts are the IDs of the shared parts of the prompt, in order; nil means that there are none.
+	Parts iter.Seq[string]
 	// Fingerprint returns the same value for each repeat of the request, at any node. It is
 	// called only while something is suspected. If nil, only the parts are.
 	Fingerprint func() string
 }
 
-// requestPrefix begins the keys of whole requests, and no ID of a part.
-const requestPrefix = "request:"
+const (
+	// maxRequestParts bounds the parts of a prompt that are kept.
+	maxRequestParts = 8 << 10
+	// maxHeldKeys is the number of keys up to which they are kept for the time of the call.
+	maxHeldKeys = 64
+)
 
 // Call is a request over all its attempts.
 type Call struct {
 	breaker *Breaker
 	request Request
 	cancel  func(cause error)
-	// keys returns what may be to blame for a crash: the parts in order and the request
-	// itself, which fewer sound requests have than any part.
-	keys func() []string
+	// held are the keys once they are known, unless there are many.
+	held atomic.Pointer[[]Key]
 
 	mu sync.Mutex
 	// runner is the runner of the current attempt, sentAt when it was sent, isAnswered whether
@@ -45,7 +50,6 @@
 // blocked before a runner has begun its response.
 func (b *Breaker) Admit(q Request, cancel func(cause error)) (*Call, error) {
 	c := &Call{breaker: b, request: q, cancel: cancel}
-	c.keys = sync.OnceValue(q.keys)
 	b.calls.Set(c, struct{}{})
 	if err := b.checkIfAlert(c, false); err != nil {
 		b.calls.Delete(c)
@@ -54,11 +58,36 @@
 	return c, nil
 }
 
-func (q *Request) keys() []string {
-	if q.Fingerprint == nil {
-		return q.Parts
+// keys returns what may be to blame for a crash: the parts in order and the request itself, which
+// fewer sound requests have than any part.
+func (c *Call) keys() []Key {
+	if held := c.held.Load(); held != nil {
+		return *held
+	}
+	keys := c.request.partKeys()
+	if c.request.Fingerprint != nil {
+		keys = append(keys, requestKey(c.request.Fingerprint()))
+	}
+	if len(keys) <= maxHeldKeys {
+		c.held.Store(&keys)
+	}
+	return keys
+}
+
+// partKeys returns the keys of the parts in order.
+func (q *Request) partKeys() []Key {
+	keys := []Key{}
+	if q.Parts == nil {
+		return keys
+	}
+	for id := range q.Parts {
+		if len(keys) == maxRequestParts {
+			partsDropped.Inc()
+			break
+		}
+		keys = append(keys, PartKey(id))
 	}
-	return append(slices.Clone(q.Parts), requestPrefix+q.Fingerprint())
+	return keys
 }
 
 // checkIfAlert checks a call while anything is suspected. If tries is set, the call may
@@ -163,7 +192,7 @@
 	keys := c.keys()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !slices.ContainsFunc(keys, func(k string) bool { return b.evidence.suspects[k] != nil })
+	return !slices.ContainsFunc(keys, b.evidence.isSuspect)
 }
 
 // Done removes the request.
--- a/internal/serving/breaker/evidence.go
+++ b/internal/serving/breaker/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -25,219 +24,271 @@
 	verdictDelay = 400 * time.Millisecond
 	// evidenceLifetime is how long evidence counts if the key does not prove sound.
 	evidenceLifetime = 10 * time.Minute
-	// crashMergeTime is the time within which reports of a runner's crash, and broken
-	// requests at a runner, belong to the same crash.
-	crashMergeTime = 1500 * time.Millisecond
-	// maxSuspects bounds the keys with evidence.
-	maxSuspects = 512
+	// maxEvidenceCrashes and maxEvidenceKeys bound the crashes that are kept and the sum of their
+	// keys, at some 80 bytes each, and maxCrashKeys the keys of one.
+	maxEvidenceCrashes = 256
+	maxEvidenceKeys    = 32 << 10
+	maxCrashKeys       = 8 << 10
+	// maxCandidates bounds the keys that are looked at in detail for a verdict.
+	maxCandidates = 512
 )
 
-// evidence holds the crashes of runners under keys of requests. The zero value is empty.
+// evidence holds the crashes of runners with the keys of their requests. The zero value is empty.
 type evidence struct {
-	suspects map[string]*suspect
+	// crashes are those that no blocked key explains, in the order in which they became known.
+	crashes []*keyedCrash
+	// suspects are the keys with their numbers of crashes, of which size is the sum.
+	suspects map[Key]suspect
+	size     int
+	// changedAt is when evidence was last added.
+	changedAt time.Time
 	// explained are the crashes that a blocked key explains.
 	explained crashList
 }
 
 // suspect is a key under which runners have crashed since it last proved sound.
 type suspect struct {
-	// reportedAt is when the first evidence became known here.
-	reportedAt time.Time
+	crashes int
 	// depth is the greatest position of the key among those of a request; the first one is 0.
-	depth   int
-	crashes crashList
+	depth int
 }
 
-// crash is the end of a start of a runner under its requests. Nodes see it at different times, and
-// a runner may start again under its ID and crash once more.
-type crash struct {
-	life
-	span
-	// isWeak is set in the evidence against a key if no request with it was waiting for its
-	// answer when the runner ended.
-	isWeak bool
+// keyedCrash is a crash with the keys under which it happened and that have not proved sound since.
+type keyedCrash struct {
+	crash
+	keys map[Key]keyEvidence
 }
 
-// span is the time in which something has happened once, from the earliest to the latest possible.
-type span struct{ from, until time.Time }
-
-// instant returns the span of what has happened at a known time.
-func instant(at time.Time) span { return span{at, at} }
-
-// isSame reports whether two nodes mean the same crash. If either does not know when the runner
-// had started, the time of the crash tells.
-func (c crash) isSame(other crash) bool {
-	switch {
-	case c.runner != other.runner:
-		return false
-	case c.bootTime != 0 && other.bootTime != 0:
-		return c.bootTime == other.bootTime
-	}
-	return c.from.Before(other.until.Add(crashMergeTime)) && other.from.Before(c.until.Add(crashMergeTime))
-}
-
-type crashList []crash
-
-func (l crashList) contains(c crash) bool { return slices.ContainsFunc(l, c.isSame) }
-
-// without returns the crashes that are not in other. It reuses l.
-func (l crashList) without(other crashList) crashList {
-	return slices.DeleteFunc(l, other.contains)
+// keyEvidence is a crash as evidence against one key.
+type keyEvidence struct {
+	depth int
+	// isWeak is set if no request with the key was waiting for its answer when the runner ended.
+	isWeak bool
+	// knownAt is when the evidence became known here.
+	knownAt time.Time
 }
 
-// since returns the crashes that are surely not before a time. It reuses l.
-func (l crashList) since(t time.Time) crashList {
-	return slices.DeleteFunc(l, func(c crash) bool { return c.from.Before(t) })
+// find returns a crash that is kept, or nil.
+func (e *evidence) find(c crash) *keyedCrash {
+	for _, k := range e.crashes {
+		if k.isSame(c) {
+			return k
+		}
+	}
+	return nil
 }
 
-// spread returns the time that surely lies between the first crash and the last one.
-func (l crashList) spread() time.Duration {
-	last := slices.MaxFunc(l, func(x, y crash) int { return x.from.Compare(y.from) })
-	first := slices.MinFunc(l, func(x, y crash) int { return x.until.Compare(y.until) })
-	return last.from.Sub(first.until)
+// keep returns a crash, which is kept from now on.
+func (e *evidence) keep(c crash) *keyedCrash {
+	if k := e.find(c); k != nil {
+		k.narrow(c.span)
+		return k
+	}
+	if len(e.crashes) >= maxEvidenceCrashes {
+		evidenceDropped.Add(len(e.crashes[0].keys))
+		e.remove(e.crashes[0])
+	}
+	k := &keyedCrash{crash: c, keys: map[Key]keyEvidence{}}
+	e.crashes = append(e.crashes, k)
+	return k
 }
 
-// strong returns the crashes under requests that were waiting for their answers.
-func (l crashList) strong() crashList {
-	return slices.DeleteFunc(slices.Clone(l), func(c crash) bool { return c.isWeak })
+// add records that a crash happened under a request with a key.
+func (e *evidence) add(c *keyedCrash, key Key, v keyEvidence) {
+	e.changedAt = latest(e.changedAt, v.knownAt)
+	old, ok := c.keys[key]
+	if ok {
+		s := e.suspects[key]
+		e.suspects[key] = suspect{s.crashes, max(s.depth, v.depth)}
+		c.keys[key] = keyEvidence{depth: max(old.depth, v.depth), isWeak: old.isWeak && v.isWeak, knownAt: old.knownAt}
+		return
+	}
+	if len(c.keys) >= maxCrashKeys {
+		evidenceDropped.Inc()
+		return
+	}
+	if e.size >= maxEvidenceKeys {
+		e.makeRoom(c)
+	}
+	if e.suspects == nil {
+		e.suspects = map[Key]suspect{}
+	}
+	c.keys[key] = v
+	s := e.suspects[key]
+	e.suspects[key] = suspect{s.crashes + 1, max(s.depth, v.depth)}
+	e.size++
 }
 
-// moments returns the number of times between which a gap surely lies at which runners crashed. When
-// many fail together, each has had requests lately that it had not answered, so that weak
-// evidence counts once for each time.
-func (l crashList) moments(gap time.Duration) int {
-	byEnd := slices.SortedFunc(slices.Values(l), func(x, y crash) int { return x.until.Compare(y.until) })
-	count := 0
-	last := time.Time{}
-	for _, c := range byEnd {
-		if count == 0 || c.from.Sub(last) >= gap {
-			count++
-			last = c.until
+// makeRoom drops an eighth of the evidence: of the oldest crashes first what they have in common with
+// no other one, which is mostly a request that is not sent again. kept stays.
+func (e *evidence) makeRoom(kept *keyedCrash) {
+	wanted := maxEvidenceKeys / 8
+	before := e.size
+	for _, c := range slices.Clone(e.crashes) {
+		for key := range c.keys {
+			if before-e.size >= wanted {
+				break
+			}
+			if e.suspects[key].crashes == 1 {
+				e.drop(c, key)
+			}
 		}
 	}
-	return count
-}
-
-// runners returns the IDs of the runners that crashed.
-func (l crashList) runners() []string {
-	list := []string{}
-	for _, c := range l {
-		list = append(list, c.runner)
+	for _, c := range slices.Clone(e.crashes) {
+		if c != kept && before-e.size < wanted {
+			e.remove(c)
+		}
 	}
-	return list
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *keyedCrash) bool { return len(c.keys) == 0 && c != kept })
+	evidenceDropped.Add(before - e.size)
 }
 
-// add records that a runner crashed under a request with a key.
-func (e *evidence) add(key string, depth int, c crash, now time.Time) {
+// drop removes the evidence of a crash against a key.
+func (e *evidence) drop(c *keyedCrash, key Key) {
+	delete(c.keys, key)
+	e.size--
 	s := e.suspects[key]
-	if s == nil {
-		if len(e.suspects) >= maxSuspects {
-			e.dropOldest()
-		}
-		s = &suspect{reportedAt: now}
-		if e.suspects == nil {
-			e.suspects = map[string]*suspect{}
-		}
-		e.suspects[key] = s
-	}
-	s.depth = max(s.depth, depth)
-	i := slices.IndexFunc(s.crashes, c.isSame)
-	if i < 0 {
-		s.crashes = append(s.crashes, c)
+	if s.crashes--; s.crashes == 0 {
+		delete(e.suspects, key)
 		return
 	}
-	s.crashes[i].narrow(c.span)
-	s.crashes[i].isWeak = s.crashes[i].isWeak && c.isWeak
+	e.suspects[key] = s
 }
 
-// narrow takes over what another span of the same event excludes.
-func (s *span) narrow(other span) {
-	if from := latest(s.from, other.from); !from.After(s.until) {
-		s.from = from
-	}
-	if other.until.Before(s.until) && !other.until.Before(s.from) {
-		s.until = other.until
+// remove drops a crash.
+func (e *evidence) remove(c *keyedCrash) {
+	for key := range c.keys {
+		e.drop(c, key)
 	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(x *keyedCrash) bool { return x == c })
 }
 
-// dropOldest makes room for another suspect. It drops the one that has become known first
-// of those under which the fewest runners have crashed: mostly a request that is not sent
-// again.
-func (e *evidence) dropOldest() {
-	oldest := ""
-	for k, s := range e.suspects {
-		o := e.suspects[oldest]
-		if o == nil || len(s.crashes) < len(o.crashes) || len(s.crashes) == len(o.crashes) && s.reportedAt.Before(o.reportedAt) {
-			oldest = k
-		}
-	}
-	delete(e.suspects, oldest)
-}
+// isSuspect reports whether a runner has ended under a key since that last proved sound.
+func (e *evidence) isSuspect(key Key) bool { return e.suspects[key].crashes > 0 }
 
 // clear drops the evidence against a key from before a time, and reports whether there
 // was any.
-func (e *evidence) clear(key string, before time.Time) bool {
-	s := e.suspects[key]
-	if s == nil {
+func (e *evidence) clear(key Key, before time.Time) bool {
+	if !e.isSuspect(key) {
 		return false
 	}
-	count := len(s.crashes)
-	s.crashes = s.crashes.since(before)
-	hadEvidence := len(s.crashes) < count
-	if len(s.crashes) == 0 {
-		delete(e.suspects, key)
+	hadEvidence := false
+	for _, c := range e.crashes {
+		if _, ok := c.keys[key]; ok && c.from.Before(before) {
+			e.drop(c, key)
+			hadEvidence = true
+		}
 	}
+	e.dropEmpty()
 	return hadEvidence
 }
 
-// explain drops crashes that a blocked key explains from the evidence against all keys.
+// dropEmpty drops the crashes that speak against no key any more.
+func (e *evidence) dropEmpty() {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *keyedCrash) bool { return len(c.keys) == 0 })
+}
+
+// explain drops crashes that a blocked key explains.
 func (e *evidence) explain(crashes crashList) {
-	crashes = slices.Clone(crashes)
 	e.explained = append(e.explained, crashes...)
-	for p, s := range e.suspects {
-		s.crashes = s.crashes.without(crashes)
-		if len(s.crashes) == 0 {
-			delete(e.suspects, p)
+	for _, c := range slices.Clone(e.crashes) {
+		if crashes.contains(c.crash) {
+			e.remove(c)
 		}
 	}
 }
 
+// under returns the crashes under a key.
+func (e *evidence) under(key Key) crashList {
+	list := crashList{}
+	for _, c := range e.crashes {
+		if v, ok := c.keys[key]; ok {
+			x := c.crash
+			x.isWeak = v.isWeak
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 func (e *evidence) expire(now time.Time) {
 	oldest := now.Add(-evidenceLifetime)
-	for p := range e.suspects {
-		e.clear(p, oldest)
+	for _, c := range slices.Clone(e.crashes) {
+		if c.from.Before(oldest) {
+			e.remove(c)
+		}
 	}
 	e.explained = e.explained.since(oldest)
 }
 
 // candidate is a key that may be blocked.
 type candidate struct {
-	*suspect
-	key string
+	key     Key
+	crashes crashList
+	// knownAt is when the first evidence against it became known here.
+	knownAt time.Time
 	// wasSound is set if the key has lately proved sound.
 	wasSound bool
 }
 
-// verdict returns the key that explains the crashes best, with the runners that crashed
-// under it, or "" if no key is to be blocked.
-func (e *evidence) verdict(now time.Time, wasSound func(key string) bool) (string, []string) {
-	candidates := []candidate{}
-	for p, s := range e.suspects {
-		c := candidate{suspect: s, key: p, wasSound: wasSound(p)}
-		if c.isProved(now) {
-			candidates = append(candidates, c)
+// candidate returns the evidence against a key.
+func (e *evidence) candidate(key Key, wasSound bool) candidate {
+	c := candidate{key: key, crashes: e.under(key), wasSound: wasSound}
+	for _, k := range e.crashes {
+		v, ok := k.keys[key]
+		if !ok {
+			continue
+		}
+		if c.knownAt.IsZero() || v.knownAt.Before(c.knownAt) {
+			c.knownAt = v.knownAt
+		}
+	}
+	return c
+}
+
+// verdict returns the key that explains the crashes best, or nil if none is to be blocked.
+func (e *evidence) verdict(now time.Time, wasSound func(key Key) bool) *candidate {
+	keys := []countedKey{}
+	for key, s := range e.suspects {
+		if s.crashes >= crashesToBlock {
+			keys = append(keys, countedKey{s, key, wasSound(key)})
+		}
+	}
+	slices.SortFunc(keys, compareCounts)
+	for _, k := range keys[:min(len(keys), maxCandidates)] {
+		if c := e.candidate(k.key, k.wasSound); c.isProved(now) {
+			return &c
 		}
 	}
-	if len(candidates) == 0 {
-		return "", nil
+	return nil
+}
+
+// countedKey is a suspect with its key.
+type countedKey struct {
+	suspect
+	key      Key
+	wasSound bool
+}
+
+// compareCounts orders keys: those that have not lately proved sound come first, then those with the
+// most crashes, then the deepest, which the fewest sound requests have.
+func compareCounts(x, y countedKey) int {
+	switch {
+	case !x.wasSound && y.wasSound:
+		return -1
+	case x.wasSound && !y.wasSound:
+		return 1
 	}
-	best := slices.MinFunc(candidates, compareCandidates)
-	return best.key, best.crashes.runners()
+	return cmp.Or(
+		cmp.Compare(y.crashes, x.crashes),
+		cmp.Compare(y.depth, x.depth),
+		cmp.Compare(x.key, y.key),
+	)
 }
 
 // isProved reports whether there is enough evidence against a key.
 func (c *candidate) isProved(now time.Time) bool {
-	if len(c.crashes) < crashesToBlock || now.Sub(c.reportedAt) < verdictDelay {
+	if now.Sub(c.knownAt) < verdictDelay {
 		return false
 	}
 	if strong := c.crashes.strong(); len(strong) >= crashesToBlock && strong.spread() >= c.leastSpread() {
@@ -251,27 +302,8 @@
 	switch {
 	case c.wasSound:
 		return minSoundSpread
-	case isRequest(c.key):
+	case c.key.isRequest():
 		return minRequestSpread
 	}
 	return minSpread
 }
-
-// compareCandidates orders candidates: those that have not lately proved sound come first, then
-// those with the most crashes, then the deepest, which the fewest sound requests have.
-func compareCandidates(x, y candidate) int {
-	switch {
-	case !x.wasSound && y.wasSound:
-		return -1
-	case x.wasSound && !y.wasSound:
-		return 1
-	}
-	return cmp.Or(
-		cmp.Compare(len(y.crashes), len(x.crashes)),
-		cmp.Compare(y.depth, x.depth),
-		cmp.Compare(x.key, y.key),
-	)
-}
-
-// names returns the keys of a crash in order.
-func names(keys map[string]int) []string { return slices.Sorted(maps.Keys(keys)) }
--- a/internal/serving/breaker/unanswered.go
+++ b/internal/serving/breaker/unanswered.go
@@ -24,6 +24,9 @@
 	// maxUnansweredRequests the requests of each.
 	maxUnansweredRunners  = 256
 	maxUnansweredRequests = 32
+	// maxUnansweredKeys bounds the sum of the keys of all, at 8 bytes each. The request with
+	// the most makes room.
+	maxUnansweredKeys = 64 << 10
 	// maxChecksAtOnce bounds the checks that begin with one call of Judge, since they are
 	// requests to runners.
 	maxChecksAtOnce = 1
@@ -31,7 +34,6 @@
 
 var (
 	attemptsUnanswered = metrics.NewCounter(`marjorammoor_attempts_unanswered_total`)
-	unansweredDropped  = metrics.NewCounter(`marjorammoor_attempts_unanswered_dropped_total`)
 	unansweredBlamed   = metrics.NewCounter(`marjorammoor_attempts_unanswered_blamed_total`)
 	endChecks          = metrics.NewCounter(`marjorammoor_runner_end_checks_total`)
 )
@@ -62,11 +64,11 @@
 // unanswered is a request whose attempt ended before the runner had answered it.
 type unanswered struct {
 	sentAt, endedAt time.Time
-	keys            []string
+	keys            []Key
 }
 
 // recordUnanswered records that an attempt has ended before the runner answered.
-func (b *Breaker) recordUnanswered(r Runner, sentAt time.Time, keys []string) {
+func (b *Breaker) recordUnanswered(r Runner, sentAt time.Time, keys []Key) {
 	if len(keys) == 0 {
 		return
 	}
@@ -98,9 +100,14 @@
 	}
 	if len(u.requests) >= maxUnansweredRequests {
 		unansweredDropped.Inc()
+		b.unansweredKeys -= len(u.requests[0].keys)
 		u.requests = slices.Delete(u.requests, 0, 1)
 	}
 	u.requests = append(u.requests, q)
+	b.unansweredKeys += len(q.keys)
+	for b.unansweredKeys > maxUnansweredKeys {
+		b.dropLargest()
+	}
 	u.checks = 0
 	if next := now.Add(firstCheckDelay); next.Before(u.checkAt) {
 		u.checkAt = next
@@ -112,6 +119,29 @@
 	b.updateAlert()
 }
 
+// dropLargest drops the unanswered request with the most keys. b.mu must be held.
+func (b *Breaker) dropLargest() {
+	largest, at := (*unansweredRunner)(nil), 0
+	for _, u := range b.unanswered {
+		for i := range u.requests {
+			if largest == nil || len(u.requests[i].keys) > len(largest.requests[at].keys) {
+				largest, at = u, i
+			}
+		}
+	}
+	unansweredDropped.Inc()
+	b.unansweredKeys -= len(largest.requests[at].keys)
+	largest.requests = slices.Delete(largest.requests, at, at+1)
+}
+
+// forgetUnanswered drops all unanswered requests of a start of a runner. b.mu must be held.
+func (b *Breaker) forgetUnanswered(l life) {
+	for _, q := range b.unanswered[l].requests {
+		b.unansweredKeys -= len(q.keys)
+	}
+	delete(b.unanswered, l)
+}
+
 // checkUnanswered looks for ends of runners with requests that they have not answered, and
 // forgets the requests that are too old to have ended one.
 func (b *Breaker) checkUnanswered() {
@@ -120,7 +150,13 @@
 	now := b.now()
 	due := []*unansweredRunner{}
 	for l, u := range b.unanswered {
-		u.requests = slices.DeleteFunc(u.requests, func(q unanswered) bool { return now.Sub(q.endedAt) > unansweredLifetime })
+		u.requests = slices.DeleteFunc(u.requests, func(q unanswered) bool {
+			isOld := now.Sub(q.endedAt) > unansweredLifetime
+			if isOld {
+				b.unansweredKeys -= len(q.keys)
+			}
+			return isOld
+		})
 		if len(u.requests) == 0 {
 			delete(b.unanswered, l)
 			continue
@@ -204,15 +240,15 @@
 	if u == nil {
 		return
 	}
-	delete(b.unanswered, l)
-	keys := map[string]int{}
-	for _, q := range u.requests {
+	b.forgetUnanswered(l)
+	keys := []deepKey{}
+	for _, q := range slices.Backward(u.requests) {
 		if q.sentAt.After(at.until) {
 			continue
 		}
 		for depth, k := range q.keys {
-			if soundAt, ok := b.sound.Get(k); !ok || soundAt.Before(q.sentAt) {
-				keys[k] = max(keys[k], depth)
+			if soundAt, ok := b.sound.get(k); !ok || soundAt.Before(q.sentAt) {
+				keys = append(keys, deepKey{k, depth})
 			}
 		}
 	}
@@ -224,12 +260,10 @@
 		c.isConfirmed = true
 		crashesAttributed.Inc()
 	}
-	for k, depth := range keys {
-		c.weakKeys[k] = max(c.weakKeys[k], depth)
-	}
 	unansweredBlamed.Add(len(u.requests))
-	b.Log.Warn("runner has ended under requests that it had not answered", "runner", l.runner, "boot_time", l.bootTime, "requests", len(u.requests), "keys", names(keys))
-	b.addCrash(c.crash(l.runner, true), c.weakKeys)
+	b.addEvidence(c.crash(l.runner, true), keys)
+	b.Log.Warn("runner has ended under requests that it had not answered", "runner", l.runner, "boot_time", l.bootTime, "requests", len(u.requests),
+		"keys", b.suspectNames(c.crash(l.runner, true)))
 }
 
 // localCrash returns the crash of a runner in a span as this node has seen it, and records it
@@ -239,7 +273,7 @@
 	if c != nil && c.crash(l.runner, true).isSame(crash{l, at, true}) {
 		return c
 	}
-	c = &localCrash{at: at.until, lived: at.from, bootTime: l.bootTime, firstSent: at.until, keys: map[string]int{}, weakKeys: map[string]int{}}
+	c = &localCrash{at: at.until, lived: at.from, bootTime: l.bootTime, firstSent: at.until}
 	if b.localCrashes == nil {
 		b.localCrashes = map[string]*localCrash{}
 	}
--- a/internal/serving/relayer/blocked_test.go
+++ b/internal/serving/relayer/blocked_test.go
@@ -96,7 +96,7 @@
 			key := "request:" + c.Fingerprint()
 			r.Breaker.Receive(&breaker.Report{Crashes: []breaker.ReportedCrash{{Runner: "gone", AgeMS: 500, Keys: map[string]int{key: 0}}}})
 			_ = r.Serve(t.Context(), c, &ResponseWriter{Start: func(int, http.Header) {}, Write: func([]byte) error { return nil }})
-			if _, got := r.Breaker.Report().SoundMS[key]; got != isSound {
+			if got := len(r.Breaker.Report().Sound) > 0; got != isSound {
 				t.Errorf("the request has proved sound: %v, want %v", got, isSound)
 			}
 		})
--- a/internal/serving/relayer/call.go
+++ b/internal/serving/relayer/call.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"iter"
 	"net/http"
 	"time"
 
@@ -35,8 +36,8 @@
 	PromptTokens int
 	MaxOutput    int
 	// SharedParts are the IDs of the parts of the prompt that other requests may have
-	// too, in order.
-	SharedParts []string
+	// too, in order; nil means that there are none.
+	SharedParts iter.Seq[string]
 	// Prompt describes the prompt of a request for a model, as the caller sent it.
 	Prompt string
 	// Priority orders waiting requests; 0 is served first.
--- a/internal/serving/relayer/fingerprint.go
+++ b/internal/serving/relayer/fingerprint.go
@@ -4,12 +4,18 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+
+	"marjorammoor/internal/serving/breaker"
 )
 
 // fingerprintBytes is the length of a fingerprint. Requests of another team never have
 // the same one by intent.
 const fingerprintBytes = 8
 
+// fingerprintMask clears the bit of a fingerprint by which keys of requests are told from those of
+// parts.
+const fingerprintMask = 0x7f
+
 // Fingerprint identifies what a runner works on: the same request has the same one when
 // its caller repeats it, at any node.
 func (c *Call) Fingerprint() string {
@@ -18,5 +24,38 @@
 		_, _ = fmt.Fprintf(h, "%d:%s", len(s), s)
 	}
 	_, _ = h.Write(c.Body)
-	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+	sum := h.Sum(nil)[:fingerprintBytes]
+	sum[0] &= fingerprintMask
+	return hex.EncodeToString(sum)
+}
+
+// maxPartNames bounds the parts of a prompt that a log line names.
+const maxPartNames = 16
+
+// PartNames returns the IDs of the first shared parts of the prompt, for logs.
+func (c *Call) PartNames() []string {
+	names := []string{}
+	if c.SharedParts == nil {
+		return names
+	}
+	for id := range c.SharedParts {
+		if len(names) == maxPartNames {
+			break
+		}
+		names = append(names, id)
+	}
+	return names
+}
+
+// partName returns the ID of the shared part with a key, or "".
+func (c *Call) partName(k breaker.Key) string {
+	if c.SharedParts == nil {
+		return ""
+	}
+	for id := range c.SharedParts {
+		if breaker.PartKey(id) == k {
+			return id
+		}
+	}
+	return ""
 }
--- a/internal/serving/relayer/relayer.go
+++ b/internal/serving/relayer/relayer.go
@@ -314,14 +314,18 @@
 // any longer, because it or a part of its prompt is blocked.
 func blockedFailure(c *Call, outcome responder.Outcome, err error) *responder.Failure {
 	blocked := &breaker.BlockedError{}
-	reason := responder.ReasonPartBlocked
-	if errors.As(err, &blocked) && blocked.IsRequest() {
+	reason, message := responder.ReasonPartBlocked, err.Error()
+	switch {
+	case !errors.As(err, &blocked):
+	case blocked.IsRequest():
 		reason = responder.ReasonRequestBlocked
+	default:
+		message = fmt.Sprintf("%s, the part with the ID %q", message, c.partName(blocked.Key))
 	}
 	if outcome != responder.NotRun {
-		return c.failure(http.StatusBadGateway, outcome, reason, err.Error())
+		return c.failure(http.StatusBadGateway, outcome, reason, message)
 	}
-	f := c.failure(http.StatusServiceUnavailable, outcome, reason, err.Error())
+	f := c.failure(http.StatusServiceUnavailable, outcome, reason, message)
 	f.RetryAfter = blocked.RetryAfter
 	return f
 }
--- a/internal/serving/relayer/retry.go
+++ b/internal/serving/relayer/retry.go
@@ -40,7 +40,7 @@
 		return false
 	case f.Outcome != responder.NotRun && !c.guard.MayRepeat():
 		countDenied("suspect")
-		r.Log.Info("request is not retried, runners have ended under it or its parts", "request", c.ID, "reason", f.Reason, "parts", c.SharedParts, "fingerprint", c.Fingerprint())
+		r.Log.Info("request is not retried, runners have ended under it or its parts", "request", c.ID, "reason", f.Reason, "parts", c.PartNames(), "fingerprint", c.Fingerprint())
 		return false
 	case !b.Spend():
 		countDenied("budget")
@@ -55,7 +55,7 @@
 // logRetry logs that a call is sent again.
 func (r *Relayer) logRetry(c *Call, s *stream, reason responder.Reason, message string, outcome responder.Outcome) {
 	r.Log.Info("request is sent again", "request", c.ID, "service", c.Service, "reason", reason, "message", message, "outcome", outcome,
-		"attempts", c.attempts, "last_event", s.last(), "tried", c.tried, "parts", c.SharedParts)
+		"attempts", c.attempts, "last_event", s.last(), "tried", c.tried, "parts", c.PartNames())
 }
 
 func countRetry(reason responder.Reason) {
--- a/internal/serving/relayer/takeover_test.go
+++ b/internal/serving/relayer/takeover_test.go
@@ -52,7 +52,7 @@
 	c := &Call{
 		ID: "q", Service: "s", Method: "POST", Target: "/", Host: "h", Arrived: now, Deadline: now.Add(3 * time.Second), CallerDeadline: now.Add(3 * time.Second),
 		Route:       &matcher.Route{Type: routeTypes[k.Type], Resumable: k.Type == "stream", MaxAttempts: k.MaxAttempts, TargetLatency: time.Second, Patience: 2 * time.Second},
-		SharedParts: []string{"p"},
+		SharedParts: slices.Values([]string{"p"}),
 	}
 	return k.relayer.Serve(t.Context(), c, &ResponseWriter{
 		Start: func(int, http.Header) {},
--- a/internal/serving/relayer/unanswered_test.go
+++ b/internal/serving/relayer/unanswered_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -242,7 +243,7 @@
 		c.Body = make([]byte, 4<<20)
 	}
 	if p.isPart {
-		c.SharedParts = []string{"aa", "bb"}
+		c.SharedParts = slices.Values([]string{"aa", "bb"})
 		c.Body = fmt.Append(c.Body, round)
 	}
 	if p.Delivered {
