Keep requests that runners broke off with the other unanswered ones

Since a request without an answer is kept after its attempt, whoever ended that, the breaker kept the keys of those that the runner itself broke off twice, once without a bound until the end was confirmed. Now the break only starts the check, and marks the request as strong evidence.

--- a/internal/serving/breaker/bounds_test.go
+++ b/internal/serving/breaker/bounds_test.go
@@ -48,8 +48,9 @@
 	r := Runner{ID: fmt.Sprint("r", number), BootTime: int64(number + 1)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addCrash(f.localCrash(r.life(), instant(f.now)).crash(r.ID, false), keys)
-	f.localCrashes[r.ID].isConfirmed = true
+	c := f.addLocalCrash(crash{r.life(), span{f.now, f.now}, false}, f.now)
+	c.isConfirmed = true
+	f.addEvidence(c.crash, (&unanswered{keys: keys}).deepKeys())
 }
 
 // TestBounds checks what is dropped when more is known of requests than is kept: what crashes have in
--- a/internal/serving/breaker/breaker.go
+++ b/internal/serving/breaker/breaker.go
@@ -88,8 +88,8 @@
 	mu       sync.Mutex
 	evidence evidence
 	blocks   map[Key]*block
-	// localCrashes are the last crashes that this node itself has seen, by runner.
-	localCrashes map[string]*localCrash
+	// localCrashes are the last crashes that this node itself has seen, by start of a runner.
+	localCrashes map[life]*localCrash
 	// unanswered are the runners that may still end under requests whose attempts are over.
 	unanswered map[life]*unansweredRunner
 	// unansweredKeys is the sum of their keys.
@@ -120,53 +120,40 @@
 
 // localCrash is the crash of a runner as this node has seen it.
 type localCrash struct {
-	// at is when it was noticed, and lived when the runner surely had not ended yet.
-	at, lived time.Time
-	bootTime  int64
+	crash
 	// firstSent is when the first of its requests was sent.
-	firstSent time.Time
-	// keys are those of the requests that may have caused it, by depth, until it is confirmed.
-	keys        [][]Key
+	firstSent   time.Time
 	isConfirmed bool
 }
 
-func (c *localCrash) span() span { return span{c.lived, c.at} }
-
-// crash returns the crash as evidence against its keys, or its weak ones.
-func (c *localCrash) crash(runner string, isWeak bool) crash {
-	return crash{life{runner, c.bootTime}, c.span(), isWeak}
-}
-
 // recordBreak records that a runner broke off a request before it was sound. Whether the
 // runner has ended is checked in the background. A request that was sent to a runner that
 // had ended before is not to blame.
-func (b *Breaker) recordBreak(r Runner, sentAt time.Time, keys []Key) {
+func (b *Breaker) recordBreak(r Runner, sentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.hadEnded(r.life(), sentAt) {
 		return
 	}
 	now := b.now()
-	c := b.localCrashes[r.ID]
-	isNew := c == nil || now.Sub(c.at) > crashMergeTime
-	if isNew {
-		c = &localCrash{at: now, lived: now, bootTime: r.BootTime, firstSent: sentAt}
-		if b.localCrashes == nil {
-			b.localCrashes = map[string]*localCrash{}
-		}
-		b.localCrashes[r.ID] = c
+	c := b.localCrashes[r.life()]
+	if c == nil || now.Sub(c.until) > crashMergeTime {
+		c = b.addLocalCrash(crash{r.life(), span{now, now}, false}, sentAt)
+		go b.confirm(r, c)
 	}
 	if sentAt.Before(c.firstSent) {
 		c.firstSent = sentAt
 	}
-	if c.isConfirmed {
-		b.addCrash(c.crash(r.ID, false), keys)
-		return
-	}
-	c.keys = append(c.keys, keys)
-	if isNew {
-		go b.confirm(r, c)
+}
+
+// addLocalCrash records a crash that this node has seen or suspects. b.mu must be held.
+func (b *Breaker) addLocalCrash(c crash, firstSent time.Time) *localCrash {
+	if b.localCrashes == nil {
+		b.localCrashes = map[life]*localCrash{}
 	}
+	l := &localCrash{crash: c, firstSent: firstSent}
+	b.localCrashes[c.life] = l
+	return l
 }
 
 // hadEnded reports whether a runner is known to have ended before a time. b.mu must be
@@ -193,41 +180,26 @@
 	for range confirmTries {
 		time.Sleep(confirmDelay)
 		if b.HasEnded(r) {
-			b.addLocalCrash(r, c)
+			b.confirmCrash(c)
 			return
 		}
 	}
 }
 
-// addLocalCrash adds a crash that this node has confirmed, unless another node has reported
-// meanwhile that the runner had ended before.
-func (b *Breaker) addLocalCrash(r Runner, c *localCrash) {
+// confirmCrash records that a runner has ended after it broke off requests, unless another node
+// has reported meanwhile that it had ended before.
+func (b *Breaker) confirmCrash(c *localCrash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := r.life()
-	if b.hadEnded(l, c.firstSent) {
+	if b.hadEnded(c.life, c.firstSent) {
 		return
 	}
-	if !c.isConfirmed {
-		c.isConfirmed = true
-		crashesAttributed.Inc()
-	}
-	b.recordEnd(l, c.at)
-	for _, keys := range c.keys {
-		b.addCrash(c.crash(r.ID, false), keys)
-	}
-	b.Log.Warn("runner has ended under requests", "runner", r.ID, "requests", len(c.keys), "keys", b.suspectNames(c.crash(r.ID, false)))
-	c.keys = nil
-	b.blameUnanswered(l, c.span())
+	b.recordEnd(c.life, c.until)
+	b.blameUnanswered(c.life, c.span)
 }
 
-// addCrash adds a crash to the evidence against keys that have not proved sound since.
-// One that a blocked key explains does not count. b.mu must be held.
-func (b *Breaker) addCrash(c crash, keys []Key) {
-	b.addEvidence(c, depths(keys))
-}
-
-// addEvidence adds a crash to the evidence against keys with their depths. b.mu must be held.
+// addEvidence adds a crash to the evidence against keys that have not proved sound since. One
+// that a blocked key explains does not count. b.mu must be held.
 func (b *Breaker) addEvidence(c crash, keys []deepKey) {
 	if b.evidence.explained.contains(c) {
 		return
@@ -265,15 +237,6 @@
 	depth int
 }
 
-// depths returns keys with their positions.
-func depths(keys []Key) []deepKey {
-	list := make([]deepKey, len(keys))
-	for i, k := range keys {
-		list[i] = deepKey{k, i}
-	}
-	return list
-}
-
 // maxNamedKeys bounds the keys that a log line names.
 const maxNamedKeys = 16
 
@@ -392,11 +355,7 @@
 			delete(b.blocks, p)
 		}
 	}
-	for id, c := range b.localCrashes {
-		if now.Sub(c.at) > reportTime {
-			delete(b.localCrashes, id)
-		}
-	}
+	maps.DeleteFunc(b.localCrashes, func(_ life, c *localCrash) bool { return now.Sub(c.until) > reportTime })
 	maps.DeleteFunc(b.ends, func(_ life, at time.Time) bool { return now.Sub(at) > evidenceLifetime })
 	b.sound.expire(now)
 	b.updateAlert()
--- a/internal/serving/breaker/call.go
+++ b/internal/serving/breaker/call.go
@@ -41,6 +41,8 @@
 	events     int
 	// isPending is set while the runner may work on the request.
 	isPending bool
+	// isBroken is set if the runner has broken off the current attempt.
+	isBroken bool
 	// mayEndRunner is set if the last attempt ended before the runner had answered.
 	mayEndRunner bool
 }
@@ -113,7 +115,7 @@
 		return err
 	}
 	c.mu.Lock()
-	c.runner, c.sentAt, c.isAnswered, c.events, c.isPending = r, c.breaker.now(), false, 0, true
+	c.runner, c.sentAt, c.isAnswered, c.events, c.isPending, c.isBroken = r, c.breaker.now(), false, 0, true, false
 	c.mu.Unlock()
 	return nil
 }
@@ -130,12 +132,14 @@
 // still end under the request.
 func (c *Call) End() {
 	c.mu.Lock()
-	r, sentAt, isUnanswered := c.runner, c.sentAt, c.isPending && c.events < soundEvents
+	r, isUnanswered := c.runner, c.isPending && c.events < soundEvents
+	q := unanswered{sentAt: c.sentAt, endedAt: c.breaker.now(), isBroken: c.isBroken}
 	c.mayEndRunner = c.mayEndRunner && !c.isPending || isUnanswered
 	c.isPending = false
 	c.mu.Unlock()
 	if isUnanswered {
-		c.breaker.recordUnanswered(r, sentAt, c.keys())
+		q.keys = c.keys()
+		c.breaker.recordUnanswered(r, q)
 	}
 }
 
@@ -164,10 +168,12 @@
 // that gives up on a request may not have come to what crashes it.
 func (c *Call) Complete() { c.RecordEvents(soundEvents) }
 
-// Break records that the runner closed the connection before the end of its response.
+// Break records that the runner closed the connection before the end of its response. End must
+// follow.
 func (c *Call) Break() {
 	c.mu.Lock()
 	r, sentAt, isSound := c.runner, c.sentAt, c.events >= soundEvents
+	c.isBroken = true
 	c.mu.Unlock()
 	if isSound {
 		return
@@ -179,7 +185,7 @@
 		b.mu.Unlock()
 		b.cancelCalls(failed)
 	}
-	b.recordBreak(r, sentAt, c.keys())
+	b.recordBreak(r, sentAt)
 }
 
 // MayRepeat reports whether the request may be sent to another runner after one broke it
--- a/internal/serving/breaker/crash.go
+++ b/internal/serving/breaker/crash.go
@@ -22,9 +22,6 @@
 // span is the time in which something has happened once, from the earliest to the latest possible.
 type span struct{ from, until time.Time }
 
-// instant returns the span of what has happened at a known time.
-func instant(at time.Time) span { return span{at, at} }
-
 // isSame reports whether two nodes mean the same crash. If either does not know when the runner
 // had started, the time of the crash tells.
 func (c crash) isSame(other crash) bool {
--- a/internal/serving/breaker/doc.go
+++ b/internal/serving/breaker/doc.go
@@ -11,6 +11,13 @@
 // that it explains no longer count against other keys. Of keys with as many ends, the one
 // that the fewest sound requests have is blocked, which is the request itself.
 //
+// It does not matter who ended the attempt. A request that the runner neither refused nor
+// answered is kept for a while after it, and counts if the runner ends meanwhile. When many
+// runners fail together they all have such requests, so that this evidence counts once for each
+// time at which runners end.
+//
+// Keys are hashes. What is kept and told is bounded; what is dropped is counted and logged.
+//
 // Blocked requests are refused as not run, and those to which no runner has begun a response
 // yet are cancelled. When the block is over, one node tries one request. If its runner
 // ends too, the key is blocked again, for twice as long.
@@ -19,7 +26,7 @@
 //
 //	b := &breaker.Breaker{HasEnded: hasEnded, Log: log}
 //	go repeater.Every(ctx, breaker.JudgeInterval, b.Judge)
-//	call, err := b.Admit(breaker.Request{Parts: parts, Fingerprint: fingerprint}, cancel)
+//	call, err := b.Admit(breaker.Request{Parts: slices.Values(ids), Fingerprint: fingerprint}, cancel)
 //	if err != nil {
 //		// A *BlockedError; the request must not be sent.
 //	}
@@ -27,5 +34,6 @@
 //	err = call.Start(breaker.Runner{ID: id, Address: address}) // before each send
 //	call.RecordResponse()
 //	call.RecordEvents(1)
-//	call.Complete() // or call.Break() if the runner closed the connection
+//	call.Complete() // or Break if the runner closed the connection, or Settle if it refused
+//	call.End()      // after each attempt
 package breaker
--- a/internal/serving/breaker/telling.go
+++ b/internal/serving/breaker/telling.go
@@ -74,11 +74,11 @@
 	crashes := []ReportedCrash{}
 	first, rest := []toldKey{}, []toldKey{}
 	wasSound := b.soundSince(now)
-	for id, c := range b.localCrashes {
-		if !c.isConfirmed || now.Sub(c.at) >= reportTime || len(crashes) >= maxReportedCrashes {
+	for l, c := range b.localCrashes {
+		if !c.isConfirmed || now.Sub(c.until) >= reportTime || len(crashes) >= maxReportedCrashes {
 			continue
 		}
-		if kept := b.evidence.find(c.crash(id, false)); kept != nil {
+		if kept := b.evidence.find(c.crash); kept != nil {
 			for k, v := range kept.keys {
 				if t := (toldKey{len(crashes), k, v}); b.evidence.suspects[k].crashes > 1 || !wasSound(k) {
 					first = append(first, t)
@@ -88,7 +88,7 @@
 			}
 		}
 		crashes = append(crashes, ReportedCrash{
-			Runner: id, AgeMS: now.Sub(c.at).Milliseconds(), BootTime: c.bootTime, LivedAgeMS: now.Sub(c.lived).Milliseconds(),
+			Runner: l.runner, AgeMS: now.Sub(c.until).Milliseconds(), BootTime: l.bootTime, LivedAgeMS: now.Sub(c.from).Milliseconds(),
 		})
 	}
 	room := max(maxReportedKeys-len(rest), maxReportedKeys*3/4)
--- a/internal/serving/breaker/unanswered.go
+++ b/internal/serving/breaker/unanswered.go
@@ -65,18 +65,19 @@
 type unanswered struct {
 	sentAt, endedAt time.Time
 	keys            []Key
+	// isBroken is set if the runner itself has ended the attempt.
+	isBroken bool
 }
 
 // recordUnanswered records that an attempt has ended before the runner answered.
-func (b *Breaker) recordUnanswered(r Runner, sentAt time.Time, keys []Key) {
-	if len(keys) == 0 {
+func (b *Breaker) recordUnanswered(r Runner, q unanswered) {
+	if len(q.keys) == 0 {
 		return
 	}
 	attemptsUnanswered.Inc()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.now()
-	b.keepUnanswered(r, unanswered{sentAt: sentAt, endedAt: now, keys: keys}, now)
+	b.keepUnanswered(r, q, b.now())
 }
 
 // keepUnanswered keeps a request until it is known whether its runner has ended. b.mu must be
@@ -112,6 +113,10 @@
 	if next := now.Add(firstCheckDelay); next.Before(u.checkAt) {
 		u.checkAt = next
 	}
+	if c := b.localCrashes[l]; c != nil && c.isConfirmed && !q.sentAt.After(c.until) && now.Sub(c.until) < crashMergeTime {
+		b.blameUnanswered(l, c.span)
+		return
+	}
 	if end, ok := b.ends[l]; ok && l.bootTime != 0 {
 		b.blameUnanswered(l, span{latest(q.sentAt, u.checkedAt), end})
 		return
@@ -234,51 +239,54 @@
 }
 
 // blameUnanswered adds the requests that a runner had not answered when it ended to what may
-// have caused that. Keys that have proved sound since do not count. b.mu must be held.
+// have caused that. b.mu must be held.
 func (b *Breaker) blameUnanswered(l life, at span) {
 	u := b.unanswered[l]
 	if u == nil {
 		return
 	}
 	b.forgetUnanswered(l)
-	keys := []deepKey{}
+	strong, weak := []deepKey{}, []deepKey{}
 	for _, q := range slices.Backward(u.requests) {
-		if q.sentAt.After(at.until) {
-			continue
-		}
-		for depth, k := range q.keys {
-			if soundAt, ok := b.sound.get(k); !ok || soundAt.Before(q.sentAt) {
-				keys = append(keys, deepKey{k, depth})
-			}
+		switch {
+		case q.sentAt.After(at.until):
+		case q.isBroken:
+			strong = append(strong, q.deepKeys()...)
+		default:
+			weak = append(weak, slices.DeleteFunc(q.deepKeys(), func(k deepKey) bool { return b.hasProvedSound(k.key, q.sentAt) })...)
 		}
 	}
-	if len(keys) == 0 {
+	if len(strong)+len(weak) == 0 {
 		return
 	}
-	c := b.localCrash(l, at)
+	c := b.localCrashes[l]
+	if c == nil || !c.isSame(crash{l, at, false}) {
+		c = b.addLocalCrash(crash{l, at, false}, at.until)
+	}
 	if !c.isConfirmed {
 		c.isConfirmed = true
 		crashesAttributed.Inc()
 	}
 	unansweredBlamed.Add(len(u.requests))
-	b.addEvidence(c.crash(l.runner, true), keys)
-	b.Log.Warn("runner has ended under requests that it had not answered", "runner", l.runner, "boot_time", l.bootTime, "requests", len(u.requests),
-		"keys", b.suspectNames(c.crash(l.runner, true)))
+	b.addEvidence(c.crash, strong)
+	b.addEvidence(crash{l, c.span, true}, weak)
+	b.Log.Warn("runner has ended under requests", "runner", l.runner, "boot_time", l.bootTime, "requests", len(u.requests), "broken_off_keys", len(strong),
+		"other_keys", len(weak), "keys", b.suspectNames(c.crash))
 }
 
-// localCrash returns the crash of a runner in a span as this node has seen it, and records it
-// first if necessary. b.mu must be held.
-func (b *Breaker) localCrash(l life, at span) *localCrash {
-	c := b.localCrashes[l.runner]
-	if c != nil && c.crash(l.runner, true).isSame(crash{l, at, true}) {
-		return c
-	}
-	c = &localCrash{at: at.until, lived: at.from, bootTime: l.bootTime, firstSent: at.until}
-	if b.localCrashes == nil {
-		b.localCrashes = map[string]*localCrash{}
+// deepKeys returns the keys of a request with their positions.
+func (q *unanswered) deepKeys() []deepKey {
+	list := make([]deepKey, len(q.keys))
+	for i, k := range q.keys {
+		list[i] = deepKey{k, i}
 	}
-	b.localCrashes[l.runner] = c
-	return c
+	return list
+}
+
+// hasProvedSound reports whether a key has proved sound since a time.
+func (b *Breaker) hasProvedSound(k Key, since time.Time) bool {
+	at, ok := b.sound.get(k)
+	return ok && !at.Before(since)
 }
 
 func latest(x, y time.Time) time.Time {
