--- a/internal/serving/breaker/bounds_test.go
+++ b/internal/serving/breaker/bounds_test.go
@@ -82,10 +82,12 @@
 	if f.evidence.size > maxEvidenceKeys || f.unansweredKeys > maxUnansweredKeys {
 		t.Errorf("%d keys of crashes and %d of unanswered requests are kept", f.evidence.size, f.unansweredKeys)
 	}
-	if kept := heapBytes() - heap; kept > maxKeptBytes {
+	kept := heapBytes() - heap
+	if kept > maxKeptBytes {
 		t.Errorf("%d bytes are kept, more than %d", kept, maxKeptBytes)
 	}
 	b, err := cbor.Marshal(report)
+	t.Logf("%d bytes are kept, a report of a node that stops has %d", kept, len(b))
 	if err != nil || len(b) > maxReportBytes {
 		t.Errorf("a report has %d bytes, more than %d, error %v", len(b), maxReportBytes, err)
 	}
