Tell a runner that is only watched from one that has been heard

A runner with requests of this node needs no probe, since their connections would break, but that is no sign of life: its end was then dated later than it may have been, and ends of runners that fail together seemed to lie apart. Found by reading. IDs of parts are shown with 80 bytes at most.

--- a/internal/network/observer/observer.go
+++ b/internal/network/observer/observer.go
@@ -136,16 +136,16 @@
 	return time.Time{}
 }
 
-// HasHeard reports whether a server has sent bytes since a time, or has requests whose connections
-// would break if it ended.
-func (o *Observer) HasHeard(address string, since time.Time) bool {
+// Heard reports whether a server has sent bytes since a time, and whether it has requests whose
+// connections would break if it ended.
+func (o *Observer) Heard(address string, since time.Time) (hasSent, hasRequests bool) {
 	p, ok := o.paths.Get(address)
 	if !ok {
-		return false
+		return false, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.waiting > 0 || o.epoch().Add(time.Duration(p.readAt.Load())).After(since)
+	return o.epoch().Add(time.Duration(p.readAt.Load())).After(since), p.waiting > 0
 }
 
 // IsGroupLost reports whether a server is out of reach together with others, so that the
--- a/internal/node/server/node.go
+++ b/internal/node/server/node.go
@@ -237,11 +237,17 @@
 // show a later start under the same ID.
 func (n *Node) sign(r breaker.Runner, since time.Time) breaker.Sign {
 	listed, ok := n.tracker.View().Runner(r.ID)
+	if !ok {
+		return breaker.Unknown
+	}
+	hasSent, hasRequests := n.observer.Heard(r.Address, since)
 	switch {
-	case ok && r.BootTime != 0 && listed.BootTime > r.BootTime:
+	case r.BootTime != 0 && listed.BootTime > r.BootTime:
 		return breaker.Ended
-	case ok && n.observer.HasHeard(r.Address, since):
+	case hasSent:
 		return breaker.Alive
+	case hasRequests:
+		return breaker.Watched
 	}
 	return breaker.Unknown
 }
--- a/internal/serving/breaker/unanswered.go
+++ b/internal/serving/breaker/unanswered.go
@@ -44,7 +44,9 @@
 const (
 	// Unknown means that nothing has been heard of the runner.
 	Unknown Sign = iota
-	// Alive means that the runner has sent something, or its end would be noticed.
+	// Watched means that the runner has requests of this node, whose connections would break.
+	Watched
+	// Alive means that the runner has sent something.
 	Alive
 	// Ended means that the runner has started again.
 	Ended
@@ -166,17 +168,23 @@
 			delete(b.unanswered, l)
 			continue
 		}
-		switch b.sign(u) {
+		sign := b.sign(u)
+		switch sign {
 		case Ended:
 			b.endLife(u, now)
 			continue
 		case Alive:
 			u.checkedAt = now
-		case Unknown:
+		case Unknown, Watched:
 		}
-		if !u.isBeingChecked && u.checks < maxChecks && !now.Before(u.checkAt) {
+		if u.isBeingChecked || u.checks >= maxChecks || now.Before(u.checkAt) {
+			continue
+		}
+		if sign == Unknown {
 			due = append(due, u)
+			continue
 		}
+		u.postpone(now)
 	}
 	b.startChecks(due, now)
 	b.updateAlert()
@@ -190,27 +198,22 @@
 	return b.Sign(u.runner, latest(u.checkedAt, u.requests[len(u.requests)-1].endedAt))
 }
 
-// startChecks has the runners asked of which nothing is known, those that wait longest first.
-// b.mu must be held.
+// startChecks has some runners asked, those that wait longest first. b.mu must be held.
 func (b *Breaker) startChecks(due []*unansweredRunner, now time.Time) {
 	slices.SortFunc(due, func(x, y *unansweredRunner) int { return x.checkAt.Compare(y.checkAt) })
-	started := 0
-	for _, u := range due {
-		isAlive := u.checkedAt.Equal(now)
-		if !isAlive && started >= maxChecksAtOnce {
-			continue
-		}
-		u.checkAt = now.Add(firstCheckDelay << u.checks)
-		u.checks++
-		if isAlive {
-			continue
-		}
-		started++
+	for _, u := range due[:min(len(due), maxChecksAtOnce)] {
+		u.postpone(now)
 		u.isBeingChecked = true
 		go b.checkEnd(u)
 	}
 }
 
+// postpone sets the time of the next check.
+func (u *unansweredRunner) postpone(now time.Time) {
+	u.checkAt = now.Add(firstCheckDelay << u.checks)
+	u.checks++
+}
+
 // checkEnd asks a runner whether it has ended.
 func (b *Breaker) checkEnd(u *unansweredRunner) {
 	endChecks.Inc()
--- a/internal/serving/relayer/fingerprint.go
+++ b/internal/serving/relayer/fingerprint.go
@@ -29,8 +29,12 @@
 	return hex.EncodeToString(sum)
 }
 
-// maxPartNames bounds the parts of a prompt that a log line names.
-const maxPartNames = 16
+// maxPartNames bounds the parts of a prompt that a log line names, and maxPartNameBytes what is shown
+// of each.
+const (
+	maxPartNames     = 16
+	maxPartNameBytes = 80
+)
 
 // PartNames returns the IDs of the first shared parts of the prompt, for logs.
 func (c *Call) PartNames() []string {
@@ -42,20 +46,22 @@
 		if len(names) == maxPartNames {
 			break
 		}
-		names = append(names, id)
+		names = append(names, shownPart(id))
 	}
 	return names
 }
 
-// partName returns the ID of the shared part with a key, or "".
+// partName returns the beginning of the ID of the shared part with a key, or "".
 func (c *Call) partName(k breaker.Key) string {
 	if c.SharedParts == nil {
 		return ""
 	}
 	for id := range c.SharedParts {
 		if breaker.PartKey(id) == k {
-			return id
+			return shownPart(id)
 		}
 	}
 	return ""
 }
+
+func shownPart(id string) string { return id[:min(len(id), maxPartNameBytes)] }
