Go on with heartbeats until unanswered requests are told

A stopping node ended within milliseconds of its last connection, and so before the heartbeat that leaves its unanswered requests to another node. It goes on for four heartbeats now if there are such requests, at most until 0.15 s before the end of the grace period. Found by reading.

--- a/internal/node/server/ends_test.go
+++ b/internal/node/server/ends_test.go
@@ -151,3 +151,36 @@
 		t.Error("the request is not kept")
 	}
 }
+
+// TestStoppingNodeLeavesUnansweredRequests guards against requests that end runners unseen because
+// the node that had sent them has stopped.
+func TestStoppingNodeLeavesUnansweredRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, other := (&endCase{Runners: 1}).newNode(0), (&endCase{Runners: 1}).newNode(1)
+		other.breaker.MayTry = nil
+		call, err := n.breaker.Admit(breaker.Request{Fingerprint: func() string { return "ab" }}, func(error) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := call.Start(breaker.Runner{ID: "r0", Address: "r0", BootTime: 7}); err != nil {
+			t.Fatal(err)
+		}
+		started := time.Now()
+		n.leaveUnanswered(started.Add(time.Minute))
+		if waited := time.Since(started); waited > 0 {
+			t.Errorf("waited %v for nothing", waited)
+		}
+		call.Done()
+		n.stopTimes.Store(newStopTimes(started, time.Minute))
+		n.leaveUnanswered(started.Add(time.Minute))
+		if waited := time.Since(started); waited < 2*beater.DefaultInterval {
+			t.Errorf("ended after %v, before heartbeats were sent", waited)
+		}
+		b := &beater.Heartbeat{Node: "n0", DataCenter: "dc"}
+		n.fillHeartbeat(b, "dc", false)
+		other.receiveHeartbeat(b)
+		if len(other.breaker.ReportUnanswered()) != 1 {
+			t.Error("the other node has not got the request")
+		}
+	})
+}
--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marjorammoor/internal/gateway/responder"
+	"marjorammoor/internal/peer/beater"
 	"marjorammoor/internal/serving/relayer"
 )
 
@@ -21,6 +22,10 @@
 	answerMargin = 700 * time.Millisecond
 	streamMargin = 500 * time.Millisecond
 	stopMargin   = 400 * time.Millisecond
+	// lastBeats is the number of heartbeats in which a node that stops tells others of requests that
+	// runners may still end under, if exitMargin is left before the end of the grace period.
+	lastBeats  = 4
+	exitMargin = 150 * time.Millisecond
 )
 
 // stopTimes are the times of a graceful stop.
@@ -144,5 +149,17 @@
 	for _, p := range ports {
 		_ = p.server.Close()
 	}
+	n.leaveUnanswered(started.Add(n.bounds().GracePeriod - exitMargin))
 	n.Log.Info("node stopped", "after_ms", time.Since(started).Milliseconds())
 }
+
+// leaveUnanswered goes on with the heartbeats for a while, at most until a time, if there are requests
+// that runners may still end under. Another node then looks after them.
+func (n *Node) leaveUnanswered(until time.Time) {
+	requests := len(n.breaker.ReportUnanswered())
+	if requests == 0 {
+		return
+	}
+	n.Log.Info("unanswered requests are left to another node", "requests", requests)
+	time.Sleep(min(lastBeats*beater.DefaultInterval, time.Until(until)))
+}
