--- a/internal/node/server/stop.go
+++ b/internal/node/server/stop.go
@@ -25,7 +25,7 @@
 	// lastBeats is the number of heartbeats in which a node that stops tells others of requests that
 	// runners may still end under, if exitMargin is left before the end of the grace period.
 	lastBeats  = 4
-	exitMargin = 150 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
 )
 
 // stopTimes are the times of a graceful stop.
--- a/internal/serving/relayer/unanswered_test.go
+++ b/internal/serving/relayer/unanswered_test.go
@@ -54,6 +54,8 @@
 const (
 	requestCrashes = 3
 	partCrashes    = 5
+	// suspectTime is how long after its attempt a request may be suspected.
+	suspectTime = 5 * time.Second
 )
 
 // heldRunner is a runner that gets one request, writes what it is told and keeps the connection
@@ -191,11 +193,10 @@
 
 // awaitBlock waits until the request is blocked, or for as long as that may take.
 func (p *unansweredPlay) awaitBlock() error {
-	for range 40 {
+	for until := time.Now().Add(suspectTime); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		if err := p.blocked(); err != nil {
 			return err
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
 	return nil
 }
