--- a/internal/serving/breaker/bounds_test.go
+++ b/internal/serving/breaker/bounds_test.go
@@ -34,7 +34,7 @@
 	return f
 }
 
-// longKeys returns keys that no other call returns, and one that each does.
+// longKeys returns keys that no other call returns, and another one.
 func longKeys(number, count int, common Key) []Key {
 	keys := make([]Key, 0, count+1)
 	for i := range count {
@@ -60,7 +60,11 @@
 	before, heap := countDropped(), heapBytes()
 	bad := PartKey("bad")
 	for i := range 40 {
-		f.crash(i, longKeys(i, 3000, bad))
+		common := bad
+		if i >= crashesToBlock {
+			common = PartKey(fmt.Sprint("last", i))
+		}
+		f.crash(i, longKeys(i, 3000, common))
 		f.now = f.now.Add(minSpread)
 	}
 	for i := range 2 * maxSoundKeys {
